--- /dev/null
+++ b/fake/fleet.go
@@ -0,0 +1,249 @@
+package fake
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// ErrCut is returned by calls over a link that is cut.
+var ErrCut = errors.New("link is cut")
+
+// Links is an in-memory stand-in for the links of a fleet. It delivers calls
+// after a one-way delay, on the runtime's clock, and can cut links.
+type Links struct {
+	delay time.Duration
+
+	mu    sync.Mutex
+	nodes map[string]*Node
+	cut   map[[2]string]bool
+	sent  map[string]int
+}
+
+// NewLinks returns links with a one-way delay between different daemons.
+func NewLinks(delay time.Duration) *Links {
+	return &Links{
+		delay: delay,
+		nodes: map[string]*Node{},
+		cut:   map[[2]string]bool{},
+		sent:  map[string]int{},
+	}
+}
+
+// Node is one daemon's view of the links. It implements wigeonladder.Fleet.
+type Node struct {
+	links *Links
+	vm    wigeonladder.VM
+	home  wigeonladder.Home
+	entry wigeonladder.Entry
+
+	states map[string]wigeonladder.State
+	down   bool
+}
+
+// Add returns the node of a new daemon. Set its roles with Serve.
+func (l *Links) Add(vm wigeonladder.VM) *Node {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := &Node{links: l, vm: vm, states: map[string]wigeonladder.State{}}
+	l.nodes[vm.Name] = n
+	return n
+}
+
+// Cut cuts or mends the link between two daemons in both directions.
+func (l *Links) Cut(a, b string, cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut[[2]string{a, b}] = cut
+	l.cut[[2]string{b, a}] = cut
+}
+
+// Down stops or starts a daemon as the others see it.
+func (l *Links) Down(vm string, down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.nodes[vm].down = down
+}
+
+// Sent returns the number of calls that left a daemon over a link.
+func (l *Links) Sent(vm string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sent[vm]
+}
+
+// reaches reports whether a call from one daemon to another gets through.
+func (l *Links) reaches(from, to string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a, b := l.nodes[from], l.nodes[to]
+	if a == nil || b == nil || a.down || b.down {
+		return false
+	}
+	return !l.cut[[2]string{from, to}]
+}
+
+// carry waits for the delay of one crossing, unless the context ends or the
+// link is cut.
+func (l *Links) carry(ctx context.Context, from, to string) error {
+	if from == to {
+		return ctx.Err()
+	}
+	l.mu.Lock()
+	l.sent[from]++
+	l.mu.Unlock()
+	t := time.NewTimer(l.delay)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+	}
+	if !l.reaches(from, to) {
+		return ErrCut
+	}
+	return nil
+}
+
+// Serve sets the roles of the daemon.
+func (n *Node) Serve(h wigeonladder.Home, e wigeonladder.Entry) {
+	n.links.mu.Lock()
+	defer n.links.mu.Unlock()
+	n.home, n.entry = h, e
+}
+
+// SetState sets what this daemon knows of a backend server.
+func (n *Node) SetState(server string, s wigeonladder.State) {
+	n.links.mu.Lock()
+	defer n.links.mu.Unlock()
+	n.states[server] = s
+}
+
+// Self implements wigeonladder.Fleet.
+func (n *Node) Self() string { return n.vm.Name }
+
+// State implements wigeonladder.Fleet.
+func (n *Node) State(server string) wigeonladder.State {
+	n.links.mu.Lock()
+	defer n.links.mu.Unlock()
+	if s, ok := n.states[server]; ok {
+		return s
+	}
+	return wigeonladder.StateLive
+}
+
+// Members implements wigeonladder.Fleet: the daemons that this one reaches.
+func (n *Node) Members() []string {
+	n.links.mu.Lock()
+	names := make([]string, 0, len(n.links.nodes))
+	for name := range n.links.nodes {
+		names = append(names, name)
+	}
+	n.links.mu.Unlock()
+	names = slices.DeleteFunc(names, func(name string) bool {
+		return name != n.vm.Name && !n.links.reaches(n.vm.Name, name)
+	})
+	slices.Sort(names)
+	return names
+}
+
+// HomeOf implements wigeonladder.Fleet by rendezvous hashing over the daemons
+// of the server's zone, or over all if the zone has none.
+func (n *Node) HomeOf(server wigeonladder.Server) (string, bool) {
+	best := ""
+	var top uint64
+	for _, local := range []bool{true, false} {
+		for _, name := range n.Members() {
+			n.links.mu.Lock()
+			zone := n.links.nodes[name].vm.Zone
+			n.links.mu.Unlock()
+			if local && zone != server.Zone {
+				continue
+			}
+			h := xxhash.Sum64String(name + "/" + server.Name)
+			if best == "" || h > top {
+				best, top = name, h
+			}
+		}
+		if best != "" {
+			return best, true
+		}
+	}
+	return "", false
+}
+
+// Home implements wigeonladder.Fleet.
+func (n *Node) Home(vm string) wigeonladder.Home { return stub{n, vm} }
+
+// Entry implements wigeonladder.Fleet.
+func (n *Node) Entry(vm string) wigeonladder.Entry { return stub{n, vm} }
+
+// stub calls the roles of another daemon over the links.
+type stub struct {
+	from *Node
+	to   string
+}
+
+// call carries a request there and the answer back.
+func call[T any](ctx context.Context, s stub, f func(*Node) (T, error)) (T, error) {
+	var none T
+	l := s.from.links
+	if err := l.carry(ctx, s.from.vm.Name, s.to); err != nil {
+		return none, err
+	}
+	l.mu.Lock()
+	n := l.nodes[s.to]
+	l.mu.Unlock()
+	if n == nil {
+		return none, ErrCut
+	}
+	answer, err := f(n)
+	if err != nil {
+		return none, err
+	}
+	if err := l.carry(ctx, s.to, s.from.vm.Name); err != nil {
+		return none, err
+	}
+	return answer, nil
+}
+
+// Ask implements wigeonladder.Home.
+func (s stub) Ask(ctx context.Context, a wigeonladder.Ask) (wigeonladder.Offer, error) {
+	return call(ctx, s, func(n *Node) (wigeonladder.Offer, error) { return n.home.Ask(ctx, a) })
+}
+
+// Demand implements wigeonladder.Home.
+func (s stub) Demand(ctx context.Context, r wigeonladder.DemandReport) error {
+	_, err := call(ctx, s, func(n *Node) (struct{}, error) { return struct{}{}, n.home.Demand(ctx, r) })
+	return err
+}
+
+// Renew implements wigeonladder.Home.
+func (s stub) Renew(ctx context.Context, r wigeonladder.Renewal) error {
+	_, err := call(ctx, s, func(n *Node) (struct{}, error) { return struct{}{}, n.home.Renew(ctx, r) })
+	return err
+}
+
+// Release implements wigeonladder.Home.
+func (s stub) Release(ctx context.Context, r []wigeonladder.Release) error {
+	_, err := call(ctx, s, func(n *Node) (struct{}, error) { return struct{}{}, n.home.Release(ctx, r) })
+	return err
+}
+
+// Grant implements wigeonladder.Entry.
+func (s stub) Grant(ctx context.Context, cs []wigeonladder.Contract) error {
+	_, err := call(ctx, s, func(n *Node) (struct{}, error) { return struct{}{}, n.entry.Grant(ctx, cs) })
+	return err
+}
+
+// Recall implements wigeonladder.Entry.
+func (s stub) Recall(ctx context.Context, ids []wigeonladder.ContractID) error {
+	_, err := call(ctx, s, func(n *Node) (struct{}, error) { return struct{}{}, n.entry.Recall(ctx, ids) })
+	return err
+}
--- /dev/null
+++ b/request.go
@@ -0,0 +1,78 @@
+package wigeonladder
+
+import "time"
+
+// Request is one piece of work of a workspace.
+type Request struct {
+	// ID is unique in the fleet; the entry daemon chooses it.
+	ID        string
+	Workspace string
+	Service   string
+	Urgency   Urgency
+	// Estimate is the expected cost in cost units (tokens for models). Hints
+	// are rough: the true cost is known only at the end.
+	Estimate int64
+	// Model is the model that the request needs; empty for any.
+	Model string
+	// Prefix is a hash of the start of the prompt, for prefix-cache affinity;
+	// 0 for none.
+	Prefix uint64
+	// Once marks a request that may not be repeated.
+	Once bool
+	// Ticket is the ticket presented with a request that may not be repeated.
+	Ticket string
+	// Arrived is when the entry daemon accepted the request.
+	Arrived time.Time
+
+	// Method, Path, ContentType and Body are what the backend server gets.
+	Method      string
+	Path        string
+	ContentType string
+	Body        []byte
+	// Stream asks for server-sent events.
+	Stream bool
+}
+
+// WithTicket returns a copy of the request that carries a ticket.
+func (r Request) WithTicket(ticket string) Request {
+	r.Ticket = ticket
+	return r
+}
+
+// WithUrgency returns a copy of the request with another urgency.
+func (r Request) WithUrgency(u Urgency) Request {
+	r.Urgency = u
+	return r
+}
+
+// Attempt is one sending of a request to one backend server.
+type Attempt struct {
+	Request Request
+	// Number counts the attempts of the request from 1.
+	Number int
+	Server Server
+	// From is the number of tokens that the caller already has; a stream that
+	// broke is resumed behind them.
+	From int64
+	// Check is called at the last step before the first byte is written. An
+	// error from it means that nothing was sent.
+	Check func() error
+}
+
+// Usage is what an attempt consumed.
+type Usage struct {
+	// Cost is the service in cost units; tokens for models.
+	Cost int64
+	// FirstToken is the time from sending to the first token or byte.
+	FirstToken time.Duration
+	// InterToken is the mean time between tokens; 0 with fewer than two.
+	InterToken time.Duration
+	// Failed is true if the attempt did not end with a complete answer.
+	Failed bool
+}
+
+// Load is a backend server's own, lagging report.
+type Load struct {
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+}
