--- a/interfaces.go
+++ b/interfaces.go
@@ -209,3 +209,28 @@
 	// the daemon itself. The fields are alternating keys and values.
 	Note(request, event string, fields ...any)
 }
+
+// Limiter learns how many requests one backend server should run at once.
+type Limiter interface {
+	// Slots returns the current limit, at least 1.
+	Slots() int
+	// Observe takes the usage of an ended attempt and the number of slots that
+	// were in use when it ended.
+	Observe(u Usage, inUse int)
+}
+
+// Suspicion counts the backend servers that broke while they ran a request.
+type Suspicion struct {
+	// Print is the fingerprint of workspace, service, path and body.
+	Print uint64 `json:"p"`
+	// Servers are the names of the backend servers that broke.
+	Servers []string `json:"s"`
+	// Age is the time since the last break in milliseconds.
+	Age int64 `json:"a"`
+}
+
+// Suspects exchanges suspicions between daemons.
+type Suspects interface {
+	Export() []Suspicion
+	Import(l []Suspicion)
+}
