--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,78 @@
+package operator
+
+import (
+	"encoding/json"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// clientTimeout bounds one operator call.
+const clientTimeout = 10 * time.Second
+
+// Client calls the operator interface of one daemon.
+type Client struct {
+	address string
+	key     string
+}
+
+// NewClient returns a client for the daemon at an address, with an operator
+// key.
+func NewClient(address, key string) *Client { return &Client{address: address, key: key} }
+
+// Dump returns the state of the daemon as JSON.
+func (c *Client) Dump() ([]byte, error) { return c.call("GET", "/dump") }
+
+// Metrics returns the metrics of the daemon as JSON.
+func (c *Client) Metrics() ([]byte, error) { return c.call("GET", "/metrics") }
+
+// Explain returns the recorded decisions about a request, oldest first.
+func (c *Client) Explain(request string) ([]Event, error) {
+	b, err := c.call("GET", "/explain?id="+url.QueryEscape(request))
+	if err != nil {
+		return nil, err
+	}
+	var l []Event
+	return l, errors.Wrap(json.Unmarshal(b, &l), "answer of the daemon")
+}
+
+// Drain starts a graceful stop and returns its status.
+func (c *Client) Drain() (Status, error) { return c.status("POST") }
+
+// Status returns how far a graceful stop is.
+func (c *Client) Status() (Status, error) { return c.status("GET") }
+
+func (c *Client) status(method string) (Status, error) {
+	b, err := c.call(method, "/drain")
+	if err != nil {
+		return Status{}, err
+	}
+	var s Status
+	return s, errors.Wrap(json.Unmarshal(b, &s), "answer of the daemon")
+}
+
+// call returns the body of a successful answer. A failed one is an error with
+// the daemon's result code.
+func (c *Client) call(method, path string) ([]byte, error) {
+	q, a := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(q)
+	defer fasthttp.ReleaseResponse(a)
+	q.Header.SetMethod(method)
+	q.SetRequestURI("http://" + c.address + path)
+	q.Header.Set("Authorization", "Bearer "+c.key)
+	if err := fasthttp.DoTimeout(q, a, clientTimeout); err != nil {
+		return nil, errors.Wrapf(err, "calling the daemon at %s", c.address)
+	}
+	if a.StatusCode() == fasthttp.StatusOK {
+		return append([]byte(nil), a.Body()...), nil
+	}
+	var p Problem
+	if err := json.Unmarshal(a.Body(), &p); err != nil {
+		return nil, errors.Errorf("daemon at %s answered with status %d", c.address, a.StatusCode())
+	}
+	return nil, wigeonladder.Errorf(wigeonladder.Code(p.Code), p.Place, "%s", p.Detail)
+}
--- /dev/null
+++ b/operator/journal.go
@@ -0,0 +1,120 @@
+package operator
+
+import (
+	"expvar"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+)
+
+// Event is one recorded decision.
+type Event struct {
+	Time    time.Time `json:"time"`
+	Request string    `json:"request,omitempty"`
+	Event   string    `json:"event"`
+	Fields  []Field   `json:"fields,omitempty"`
+}
+
+// Field is one key and value of an event.
+type Field struct {
+	Key   string `json:"key"`
+	Value string `json:"value"`
+}
+
+// journalEvents bounds the memory of a journal: about 300 bytes an event, so
+// 5 MB of the 32 MB that a daemon may use for control.
+const journalEvents = 16384
+
+// Journal implements wigeonladder.Journal. It writes one key=value line for
+// each event, counts the events by name, and keeps the newest ones so that
+// operators can ask why a request was placed, held or refused.
+type Journal struct {
+	log    log.Interface
+	counts *expvar.Map
+
+	mu   sync.Mutex
+	ring []Event
+	next int
+}
+
+// NewJournal returns a journal that writes to a log; nil writes nothing.
+func NewJournal(l log.Interface) *Journal {
+	return &Journal{log: l, counts: new(expvar.Map).Init()}
+}
+
+// Note implements wigeonladder.Journal. A key without a value gets an empty
+// one.
+func (j *Journal) Note(request, event string, fields ...any) {
+	e := Event{Time: time.Now(), Request: request, Event: event, Fields: pairs(fields)}
+	j.counts.Add(event, 1)
+	j.keep(e)
+	if j.log == nil {
+		return
+	}
+	m := make(log.Fields, len(e.Fields)+1)
+	for _, f := range e.Fields {
+		m[f.Key] = f.Value
+	}
+	if request != "" {
+		m["request"] = request
+	}
+	j.log.WithFields(m).Info(event)
+}
+
+// Counts returns the number of events by name.
+func (j *Journal) Counts() *expvar.Map { return j.counts }
+
+// Explain returns the recorded events of a request, oldest first.
+func (j *Journal) Explain(request string) []Event {
+	return j.selectEvents(func(e Event) bool { return e.Request == request })
+}
+
+// Last returns the newest events, oldest first.
+func (j *Journal) Last(n int) []Event {
+	all := j.selectEvents(func(Event) bool { return true })
+	if len(all) > n {
+		all = all[len(all)-n:]
+	}
+	return all
+}
+
+// keep stores an event in place of the oldest one.
+func (j *Journal) keep(e Event) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if len(j.ring) < journalEvents {
+		j.ring = append(j.ring, e)
+		return
+	}
+	j.ring[j.next] = e
+	j.next = (j.next + 1) % journalEvents
+}
+
+// selectEvents returns the matching events, oldest first.
+func (j *Journal) selectEvents(match func(Event) bool) []Event {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var l []Event
+	for i := range j.ring {
+		e := j.ring[(j.next+i)%len(j.ring)]
+		if match(e) {
+			l = append(l, e)
+		}
+	}
+	return l
+}
+
+// pairs turns alternating keys and values into fields.
+func pairs(kv []any) []Field {
+	l := make([]Field, 0, (len(kv)+1)/2)
+	for i := 0; i < len(kv); i += 2 {
+		f := Field{Key: fmt.Sprint(kv[i])}
+		if i+1 < len(kv) {
+			f.Value = fmt.Sprint(kv[i+1])
+		}
+		l = append(l, f)
+	}
+	return l
+}
--- /dev/null
+++ b/operator/operator_test.go
@@ -0,0 +1,96 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// start serves the operator interface on loopback with the key "secret".
+func start(t *testing.T, j *Journal) (address string, drained *bool) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	drained = new(bool)
+	sum := sha256.Sum256([]byte("secret"))
+	s := NewServer(ctx, Options{
+		Listener: ln,
+		Keys:     []string{hex.EncodeToString(sum[:])},
+		Journal:  j,
+		Dump:     func() any { return map[string]int{"revision": 7} },
+		Metrics:  func() string { return "{}" },
+		Drain:    func() { *drained = true },
+		Status:   func() Status { return Status{Draining: *drained, Done: *drained} },
+	})
+	t.Cleanup(func() {
+		cancel()
+		<-s.Done()
+	})
+	return ln.Addr().String(), drained
+}
+
+// wantCode fails unless the error carries the code.
+func wantCode(t *testing.T, err error, c wigeonladder.Code) {
+	t.Helper()
+	var e *wigeonladder.Error
+	if !errors.As(err, &e) || e.Code != c {
+		t.Fatalf("got error %v, want code %v", err, c)
+	}
+}
+
+// Guards against a stranger draining a daemon or reading its state.
+func TestOnlyOperatorsMayCall(t *testing.T) {
+	is := is.New(t)
+	address, drained := start(t, NewJournal(nil))
+	for _, key := range []string{"", "wrong"} {
+		c := NewClient(address, key)
+		_, err := c.Drain()
+		wantCode(t, err, wigeonladder.CodeNotOperator)
+		_, err = c.Dump()
+		wantCode(t, err, wigeonladder.CodeNotOperator)
+		_, err = c.Explain("r1")
+		wantCode(t, err, wigeonladder.CodeNotOperator)
+	}
+	is.Equal(*drained, false)
+	s, err := NewClient(address, "secret").Drain()
+	is.NoErr(err)
+	is.Equal(s.Done, true)
+}
+
+// Guards against decisions of another request appearing in an explanation.
+func TestExplain(t *testing.T) {
+	is := is.New(t)
+	j := NewJournal(nil)
+	j.Note("r1", "queued", "reason", "no free slot")
+	j.Note("r2", "queued")
+	j.Note("r1", "granted", "server")
+	c := NewClient(func() string { a, _ := start(t, j); return a }(), "secret")
+	l, err := c.Explain("r1")
+	is.NoErr(err)
+	is.Equal(len(l), 2)
+	is.Equal(l[0].Fields[0], Field{Key: "reason", Value: "no free slot"})
+	is.Equal(l[1].Event, "granted")
+	_, err = c.Explain("r3")
+	wantCode(t, err, wigeonladder.CodeNotFound)
+	is.Equal(j.Counts().Get("queued").String(), "2")
+}
+
+// Guards against unbounded memory of a journal.
+func TestJournalIsBounded(t *testing.T) {
+	is := is.New(t)
+	j := NewJournal(nil)
+	for range journalEvents + 10 {
+		j.Note("", "tick")
+	}
+	is.Equal(len(j.Last(2*journalEvents)), journalEvents)
+}
--- /dev/null
+++ b/operator/server.go
@@ -0,0 +1,170 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// Status tells how far a graceful stop is.
+type Status struct {
+	Draining bool `json:"draining"`
+	// Open is the number of requests that have not ended.
+	Open int `json:"open"`
+	// Done is true once the last request has ended.
+	Done bool `json:"done"`
+}
+
+// Options configure a Server.
+type Options struct {
+	Listener net.Listener
+	// Keys are the SHA-256 hashes, in hexadecimal, of the operators' keys.
+	Keys    []string
+	Journal *Journal
+	// Dump returns the state of the daemon.
+	Dump func() any
+	// Metrics returns the metrics as a JSON object.
+	Metrics func() string
+	// Drain starts a graceful stop; more calls change nothing.
+	Drain func()
+	// Status tells how far a graceful stop is.
+	Status func() Status
+}
+
+// Server answers operators over HTTP.
+type Server struct {
+	o    Options
+	http *fasthttp.Server
+	done chan struct{}
+}
+
+// Time limits of the operators' interface.
+const (
+	operatorReadTimeout  = 5 * time.Second
+	operatorCloseTimeout = time.Second
+)
+
+// NewServer serves until the context ends.
+func NewServer(ctx context.Context, o Options) *Server {
+	s := &Server{o: o, done: make(chan struct{})}
+	s.http = &fasthttp.Server{
+		Handler:               s.handle,
+		NoDefaultServerHeader: true,
+		ReadTimeout:           operatorReadTimeout,
+		Logger:                quiet{},
+	}
+	go func() {
+		defer close(s.done)
+		if err := s.http.Serve(o.Listener); err != nil {
+			o.Journal.Note("", "operator_server_ended", "error", err)
+		}
+	}()
+	go func() {
+		<-ctx.Done()
+		end, cancel := context.WithTimeout(context.WithoutCancel(ctx), operatorCloseTimeout)
+		defer cancel()
+		if err := s.http.ShutdownWithContext(end); err != nil {
+			o.Journal.Note("", "operator_server_closed", "error", err)
+		}
+	}()
+	return s
+}
+
+// Done is closed when the server has ended.
+func (s *Server) Done() <-chan struct{} { return s.done }
+
+// handle answers one call.
+func (s *Server) handle(c *fasthttp.RequestCtx) {
+	if !s.allowed(c) {
+		fail(c, wigeonladder.Errorf(wigeonladder.CodeNotOperator, c.RemoteAddr().String(), "the operator key is missing or unknown"))
+		return
+	}
+	switch string(c.Method()) + " " + string(c.Path()) {
+	case "GET /dump":
+		reply(c, s.o.Dump())
+	case "GET /explain":
+		s.explain(c)
+	case "GET /metrics":
+		c.SetContentType("application/json")
+		c.SetBodyString(s.o.Metrics())
+	case "POST /drain":
+		s.o.Drain()
+		reply(c, s.o.Status())
+	case "GET /drain":
+		reply(c, s.o.Status())
+	default:
+		fail(c, wigeonladder.Errorf(wigeonladder.CodeNotFound, string(c.Path()), "no such operator call"))
+	}
+}
+
+// explain answers with the recorded decisions about one request.
+func (s *Server) explain(c *fasthttp.RequestCtx) {
+	id := string(c.QueryArgs().Peek("id"))
+	events := s.o.Journal.Explain(id)
+	if len(events) == 0 {
+		fail(c, wigeonladder.Errorf(wigeonladder.CodeNotFound, "request "+id, "this daemon has no record of the request"))
+		return
+	}
+	reply(c, events)
+}
+
+// allowed reports whether the call carries an operator key.
+func (s *Server) allowed(c *fasthttp.RequestCtx) bool {
+	key, ok := strings.CutPrefix(string(c.Request.Header.Peek("Authorization")), "Bearer ")
+	if !ok {
+		return false
+	}
+	sum := sha256.Sum256([]byte(key))
+	hash := hex.EncodeToString(sum[:])
+	found := false
+	for _, k := range s.o.Keys {
+		if subtle.ConstantTimeCompare([]byte(strings.ToLower(k)), []byte(hash)) == 1 {
+			found = true
+		}
+	}
+	return found
+}
+
+// reply sends a value as JSON.
+func reply(c *fasthttp.RequestCtx, v any) {
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		fail(c, wigeonladder.Errorf(wigeonladder.CodeMalformed, string(c.Path()), "encoding the answer: %v", err))
+		return
+	}
+	c.SetContentType("application/json")
+	c.SetBody(append(b, '\n'))
+}
+
+// Problem is the JSON body of a failed call.
+type Problem struct {
+	Code    int    `json:"code"`
+	Name    string `json:"name"`
+	Outcome string `json:"outcome"`
+	Place   string `json:"place,omitempty"`
+	Detail  string `json:"detail"`
+}
+
+// fail sends a numbered error.
+func fail(c *fasthttp.RequestCtx, e *wigeonladder.Error) {
+	f := e.Code.Fact()
+	c.Response.Header.Set("X-Result-Code", strconv.Itoa(int(e.Code)))
+	reply(c, Problem{Code: int(e.Code), Name: f.Name, Outcome: string(f.Outcome), Place: e.Place, Detail: e.Detail})
+	c.SetStatusCode(f.Status)
+}
+
+// quiet drops the library's own log lines: events go to the journal.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
