--- /dev/null
+++ b/fair/dump.go
@@ -0,0 +1,78 @@
+package fair
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// Dump is the state of Counters for operators.
+type Dump struct {
+	Home     string        `json:"home"`
+	Peers    []string      `json:"peers,omitempty"`
+	Services []ServiceDump `json:"services"`
+}
+
+// ServiceDump is the state of one service.
+type ServiceDump struct {
+	Service string `json:"service"`
+	// Virtual is the virtual time V.
+	Virtual    float64         `json:"virtual"`
+	Workspaces []WorkspaceDump `json:"workspaces"`
+}
+
+// WorkspaceDump is the account of one workspace for one service.
+type WorkspaceDump struct {
+	Workspace string `json:"workspace"`
+	// E is the received service by weight, with extrapolation.
+	E float64 `json:"e"`
+	// Assumed is the extrapolated part of E.
+	Assumed    float64 `json:"assumed,omitempty"`
+	Weight     float64 `json:"weight"`
+	Backlogged bool    `json:"backlogged"`
+	// Own is the cost that this home charged since its start.
+	Own int64 `json:"own"`
+}
+
+// Dump returns the state of all services, sorted by name.
+func (c *Counters) Dump() Dump {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := Dump{Home: c.options.Home}
+	for home := range c.peers {
+		d.Peers = append(d.Peers, home)
+	}
+	slices.Sort(d.Peers)
+	for _, s := range c.services {
+		d.Services = append(d.Services, s.dump())
+	}
+	slices.SortFunc(d.Services, func(a, b ServiceDump) int { return strings.Compare(a.Service, b.Service) })
+	return d
+}
+
+func (s *service) dump() ServiceDump {
+	d := ServiceDump{Service: s.name, Virtual: s.v()}
+	for _, r := range s.rows {
+		d.Workspaces = append(d.Workspaces, WorkspaceDump{
+			Workspace:  r.workspace,
+			E:          r.key(),
+			Assumed:    r.ahead,
+			Weight:     r.weight,
+			Backlogged: r.backlogged(),
+			Own:        r.own,
+		})
+	}
+	slices.SortFunc(d.Workspaces, func(a, b WorkspaceDump) int { return strings.Compare(a.Workspace, b.Workspace) })
+	return d
+}
+
+// sortRows orders rows by service and workspace, so that exports repeat.
+func sortRows(rows []wigeonladder.Charge) {
+	slices.SortFunc(rows, func(a, b wigeonladder.Charge) int {
+		if a.Service != b.Service {
+			return strings.Compare(a.Service, b.Service)
+		}
+		return strings.Compare(a.Workspace, b.Workspace)
+	})
+}
--- /dev/null
+++ b/fair/peer_test.go
@@ -0,0 +1,172 @@
+package fair
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+func slots(n int) func() int { return func() int { return n } }
+
+// homes returns counters that know each other and w0 and w1 as backlogged.
+func homes(n int, o Options) []*Counters {
+	list := make([]*Counters, n)
+	for i := range list {
+		o.Home = fmt.Sprintf("h%d", i)
+		list[i] = NewCounters(o)
+		list[i].Backlog(model, "w0", true)
+		list[i].Backlog(model, "w1", true)
+	}
+	for range fullEvery {
+		exchange(list, func(int, int) bool { return true })
+	}
+	return list
+}
+
+// exchange delivers one export of each home to those that reach allows.
+func exchange(list []*Counters, reach func(from, to int) bool) {
+	for i, from := range list {
+		m := from.Export()
+		for j, to := range list {
+			if i != j && reach(i, j) {
+				to.Import(m)
+			}
+		}
+	}
+}
+
+// Guards against charges that are lost with a message or counted twice.
+func TestLostMessageLosesNoCharge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 5).Draw(t, "homes")
+		list := homes(n, Options{Slots: slots(rapid.IntRange(0, 32).Draw(t, "slots"))})
+		sums := map[string]int64{}
+		for range rapid.IntRange(1, 30).Draw(t, "rounds") {
+			for _, c := range list {
+				w := rapid.SampledFrom([]string{"w0", "w1"}).Draw(t, "workspace")
+				cost := rapid.Int64Range(-50, 500).Draw(t, "cost")
+				c.Charge(model, w, cost)
+				sums[w] += cost
+			}
+			lost := rapid.SliceOfN(rapid.Bool(), n*n, n*n).Draw(t, "lost")
+			exchange(list, func(from, to int) bool { return !lost[from*n+to] })
+		}
+		for range fullEvery {
+			exchange(list, func(int, int) bool { return true })
+		}
+		for _, c := range list {
+			for w, sum := range sums {
+				near(t, w, find(c, w).E, float64(sum))
+				near(t, w+" assumed", find(c, w).Assumed, 0)
+			}
+		}
+	})
+}
+
+// Guards against the service before a first contact being charged as new.
+func TestFirstContactSetsBaseline(t *testing.T) {
+	is := is.New(t)
+	a := NewCounters(Options{Home: "a"})
+	b := NewCounters(Options{Home: "b"})
+	c := NewCounters(Options{Home: "c"})
+	a.Import(b.Export()) // a has heard its first peer
+	a.Backlog(model, "w0", true)
+	c.Charge(model, "w0", 1_000_000)
+	a.Import(c.Export())
+	is.Equal(find(a, "w0").E, 0.0)
+	c.Charge(model, "w0", 7)
+	a.Import(c.Export())
+	is.Equal(find(a, "w0").E, 7.0)
+}
+
+// Guards against a restarted home that starts with other counters than the
+// fleet, and against its old charges being taken back.
+func TestRestartAdoptsLevels(t *testing.T) {
+	is := is.New(t)
+	list := homes(2, Options{})
+	list[0].Charge(model, "w0", 900)
+	list[1].Charge(model, "w1", 400)
+	exchange(list, func(int, int) bool { return true })
+
+	b := NewCounters(Options{Home: "h1b"})
+	b.Backlog(model, "w1", true)
+	b.Backlog(model, "w2", true)
+	list[0].Export()
+	list[0].Charge(model, "w0", 100)
+	b.Import(list[0].Export()) // names w0 only
+	is.Equal(find(b, "w0").E, 1000.0)
+	is.Equal(find(b, "w2").E, 1000.0) // lifted, or it would get all service
+	for range fullEvery {
+		b.Import(list[0].Export())
+	}
+	list[0].Import(b.Export())
+	is.Equal(find(list[0], "w0").E, 1000.0)
+	is.Equal(find(list[0], "w1").E, 400.0)
+	b.Charge(model, "w1", 30)
+	list[0].Import(b.Export())
+	is.Equal(find(list[0], "w1").E, 430.0)
+}
+
+// Guards against memory that grows with every restart of a peer.
+func TestDeadIncarnationsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	c := NewCounters(Options{Home: "a"})
+	for i := range 10 * maxPeers {
+		m := wigeonladder.Charges{Home: fmt.Sprint(i), Rows: []wigeonladder.Charge{{Service: model, Workspace: "w0", Total: 5}}}
+		c.Import(m)
+	}
+	is.Equal(len(c.Dump().Peers), maxPeers)
+}
+
+// Guards against all homes choosing the same workspace between exchanges.
+func TestExtrapolationSpreadsChoices(t *testing.T) {
+	worst := func(off bool) float64 {
+		list := homes(4, Options{Slots: slots(16), NoExtrapolation: off})
+		gap := 0.0
+		sums := map[string]float64{}
+		for round := range 200 {
+			for _, c := range list {
+				w, _ := c.Next(model, all)
+				cost := int64(100)
+				if round%2 == 1 {
+					cost = 150
+				}
+				c.Charge(model, w, cost)
+				sums[w] += float64(cost)
+			}
+			gap = max(gap, sums["w0"]-sums["w1"], sums["w1"]-sums["w0"])
+			if round%10 == 0 {
+				exchange(list, func(int, int) bool { return true })
+			}
+		}
+		return gap
+	}
+	on, off := worst(false), worst(true)
+	t.Logf("largest gap %v with extrapolation, %v without", on, off)
+	if on > off {
+		t.Fatalf("extrapolation raised the gap from %v to %v", off, on)
+	}
+}
+
+// Guards against charging for a peer that is gone or does not serve a service.
+func TestExtrapolationEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		list := homes(2, Options{Slots: slots(8)})
+		list[0].Charge(model, "w0", 100)
+		is.Equal(find(list[0], "w0").Assumed, 0.0) // h1 charged nothing yet
+		list[1].Charge(model, "w1", 100)
+		exchange(list, func(int, int) bool { return true })
+		list[0].Charge(model, "w0", 100)
+		is.Equal(find(list[0], "w0").Assumed, 100.0)
+		time.Sleep(peerSilence + time.Second)
+		list[0].Charge(model, "w0", 100)
+		is.Equal(find(list[0], "w0").Assumed, 0.0)
+	})
+}
