--- /dev/null
+++ b/contract/dump.go
@@ -0,0 +1,143 @@
+package contract
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// Dump is the state of a ledger at one moment.
+type Dump struct {
+	Incarnation string         `json:"incarnation"`
+	Members     []string       `json:"members"`
+	Servers     []ServerDump   `json:"servers"`
+	Contracts   []ContractDump `json:"contracts"`
+	Demands     []DemandDump   `json:"demands"`
+	Backlogged  map[string]int `json:"backlogged"`
+}
+
+// ServerDump is the state of one own server.
+type ServerDump struct {
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	Limit   int    `json:"limit"`
+	InUse   int    `json:"inUse"`
+	Free    int    `json:"free"`
+	// Foreign is the number of slots that the server reports as running and
+	// that this home does not know.
+	Foreign int  `json:"foreign,omitempty"`
+	Leaving bool `json:"leaving,omitempty"`
+	// Takeover is true while the home waits for renewals.
+	Takeover bool `json:"takeover,omitempty"`
+}
+
+// ContractDump is one contract that occupies a slot.
+type ContractDump struct {
+	Contract wigeonladder.Contract `json:"contract"`
+	Charged  int64                 `json:"charged"`
+	Cost     int64                 `json:"cost"`
+	InUse    bool                  `json:"inUse"`
+	// Age is the time since the last renewal in milliseconds.
+	Age int64 `json:"age"`
+}
+
+// DemandDump is the waiting work of one workspace for one model at one entry.
+type DemandDump struct {
+	Entry    string              `json:"entry"`
+	Demand   wigeonladder.Demand `json:"demand"`
+	InFlight int                 `json:"inFlight"`
+}
+
+// Dump returns the state of the ledger, sorted.
+func (l *Ledger) Dump() Dump {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := Dump{
+		Incarnation: l.o.Incarnation,
+		Members:     slices.Clone(l.members),
+		Backlogged:  map[string]int{},
+	}
+	for _, s := range l.servers {
+		d.Servers = append(d.Servers, s.dump())
+	}
+	for _, t := range l.leases {
+		d.Contracts = append(d.Contracts, t.dump(now))
+	}
+	for _, e := range l.entries {
+		for _, m := range e.demands {
+			d.Demands = append(d.Demands, m.dump(now))
+		}
+	}
+	for name, p := range l.pools {
+		for _, q := range p.queues {
+			if q.waiting > 0 {
+				d.Backlogged[name]++
+			}
+		}
+	}
+	d.sort()
+	return d
+}
+
+// sort orders the lists by name.
+func (d *Dump) sort() {
+	slices.SortFunc(d.Servers, func(a, b ServerDump) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(d.Contracts, func(a, b ContractDump) int {
+		x, y := a.Contract.ID, b.Contract.ID
+		return cmp.Or(cmp.Compare(x.Home, y.Home), cmp.Compare(x.Number, y.Number))
+	})
+	slices.SortFunc(d.Demands, func(a, b DemandDump) int {
+		return cmp.Or(
+			cmp.Compare(a.Demand.Service, b.Demand.Service),
+			cmp.Compare(a.Demand.Workspace, b.Demand.Workspace),
+			cmp.Compare(a.Entry, b.Entry),
+			cmp.Compare(a.Demand.Model, b.Demand.Model),
+		)
+	})
+}
+
+// dump returns the state of the server.
+func (s *server) dump() ServerDump {
+	return ServerDump{
+		Name:     s.Name,
+		Service:  s.pool.name,
+		Limit:    s.limit,
+		InUse:    s.inUse,
+		Free:     s.free(),
+		Foreign:  s.foreign,
+		Leaving:  s.leaving,
+		Takeover: s.waiting,
+	}
+}
+
+// dump returns the state of the contract.
+func (t *lease) dump(now time.Time) ContractDump {
+	return ContractDump{
+		Contract: t.contract,
+		Charged:  t.charged,
+		Cost:     t.cost,
+		InUse:    t.inUse,
+		Age:      now.Sub(t.renewed).Milliseconds(),
+	}
+}
+
+// dump returns the demand as its entry reported it.
+func (d *demand) dump(now time.Time) DemandDump {
+	return DemandDump{
+		Entry:    d.entry,
+		InFlight: d.inFlight,
+		Demand: wigeonladder.Demand{
+			Service:   d.service,
+			Workspace: d.workspace,
+			Waiting:   d.waiting,
+			Urgency:   d.urgency,
+			Oldest:    now.Sub(d.head).Milliseconds(),
+			Estimate:  d.estimate,
+			Model:     d.model,
+			Prefix:    d.prefix,
+		},
+	}
+}
