--- /dev/null
+++ b/entry/contact.go
@@ -0,0 +1,282 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// Times of messages to homes.
+const (
+	// reportGap is the least time between two demand reports to one home in
+	// another process.
+	reportGap = 10 * time.Millisecond
+	// releaseGap is the time for which releases to one home are gathered after
+	// a first one was sent.
+	releaseGap = 2 * time.Millisecond
+	// callLimit bounds one call of a home.
+	callLimit = 500 * time.Millisecond
+	// contactLife is how long a contact that is no member is kept.
+	contactLife = 30 * time.Second
+)
+
+// contact is what the queue keeps of one home.
+type contact struct {
+	vm     string
+	cancel context.CancelFunc
+	// dirty names the rows to report, full asks for a report of all rows.
+	dirty map[laneKey]bool
+	full  bool
+	// reported is true while the home may hold demands of this entry.
+	reported bool
+	releases []wigeonladder.Release
+	free     map[laneKey]freeSlots
+	failed   time.Time
+	// used is the time of the last message but for empty renewals.
+	used time.Time
+	// greeted is true once an empty renewal arrived.
+	greeted bool
+	// changed and ended wake the goroutines of the contact.
+	changed chan struct{}
+	ended   chan struct{}
+}
+
+// freeSlots is what a home last said of its free slots.
+type freeSlots struct {
+	slots int
+	none  bool
+	at    time.Time
+}
+
+// worthAsking reports whether a home may have a free slot and answer.
+func (c *contact) worthAsking(k laneKey, now time.Time) bool {
+	if !c.failed.IsZero() && now.Sub(c.failed) < failedLife {
+		return false
+	}
+	f := c.free[k]
+	return !f.none || now.Sub(f.at) >= noneLife
+}
+
+// wake lets the contact send its reports.
+func (c *contact) wake() {
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+}
+
+// contact returns the contact of a home.
+func (q *Queue) contact(vm string) *contact {
+	c := q.contacts[vm]
+	if c == nil {
+		c = q.newContact(vm)
+		q.contacts[vm] = c
+	}
+	return c
+}
+
+// newContact returns a contact whose goroutines end with the context.
+func (q *Queue) newContact(vm string) *contact {
+	ctx, cancel := context.WithCancel(q.ctx)
+	c := &contact{
+		vm:      vm,
+		cancel:  cancel,
+		dirty:   map[laneKey]bool{},
+		full:    true,
+		free:    map[laneKey]freeSlots{},
+		used:    time.Now(),
+		changed: make(chan struct{}, 1),
+		ended:   make(chan struct{}, 1),
+	}
+	go func() {
+		for listen(ctx, c.changed) {
+			q.report(ctx, c)
+			if vm != q.self && !pause(ctx, reportGap) {
+				return
+			}
+		}
+	}()
+	go func() {
+		for listen(ctx, c.ended) {
+			batch := q.takeReleases(c)
+			go q.sendReleases(ctx, c, batch)
+			if !pause(ctx, releaseGap) {
+				return
+			}
+		}
+	}()
+	return c
+}
+
+// listen waits for a signal; it is false when the context ends.
+func listen(ctx context.Context, signal <-chan struct{}) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-signal:
+		return true
+	}
+}
+
+// pause waits for some time; it is false when the context ends.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// dirty marks a row for the next report to every home that could serve it.
+func (q *Queue) dirty(k laneKey) {
+	for _, vm := range q.view.homes(k.service, k.model) {
+		c := q.contact(vm)
+		c.dirty[k] = true
+		c.wake()
+	}
+}
+
+// dirtyAll marks all rows.
+func (q *Queue) dirtyAll() {
+	for _, l := range q.lines {
+		for _, s := range l.shelves {
+			for _, n := range s.lanes {
+				q.dirty(n.laneKey)
+			}
+		}
+	}
+}
+
+// repeat reports all rows again to the homes that hold demands of this entry.
+func (q *Queue) repeat() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, c := range q.contacts {
+		if c.reported {
+			c.full = true
+			c.wake()
+		}
+	}
+}
+
+// report sends the changed rows to one home.
+func (q *Queue) report(ctx context.Context, c *contact) {
+	r, ok := q.compose(c)
+	if !ok {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	err := q.o.Fleet.Home(c.vm).Demand(call, r)
+	if err == nil {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	c.full = true
+	c.reported = true
+	c.failed = time.Now()
+}
+
+// compose returns the report that is due; ok is false if none is.
+func (q *Queue) compose(c *contact) (r wigeonladder.DemandReport, ok bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	r = wigeonladder.DemandReport{Entry: q.self, Full: c.full}
+	if c.full {
+		r.Demands = q.rows(c.vm)
+	} else {
+		for k := range c.dirty {
+			r.Demands = append(r.Demands, q.row(k))
+		}
+	}
+	due := len(r.Demands) > 0 || (c.full && c.reported)
+	if c.full {
+		c.reported = len(r.Demands) > 0
+	}
+	c.reported = c.reported || len(r.Demands) > 0
+	c.full = false
+	clear(c.dirty)
+	if due {
+		c.used = time.Now()
+	}
+	return r, due
+}
+
+// rows returns all rows that one home could serve.
+func (q *Queue) rows(vm string) []wigeonladder.Demand {
+	var rows []wigeonladder.Demand
+	for _, l := range q.lines {
+		for _, s := range l.shelves {
+			for _, n := range s.lanes {
+				if slices.Contains(q.view.homes(n.service, n.model), vm) {
+					rows = append(rows, q.row(n.laneKey))
+				}
+			}
+		}
+	}
+	return rows
+}
+
+// row returns the demand of one lane; nothing waiting withdraws it.
+func (q *Queue) row(k laneKey) wigeonladder.Demand {
+	d := wigeonladder.Demand{Service: k.service, Workspace: k.workspace, Model: k.model}
+	l := q.lines[k.service]
+	if l == nil || l.shelves[k.workspace] == nil {
+		return d
+	}
+	n := l.shelves[k.workspace].lanes[k.model]
+	if n == nil {
+		return d
+	}
+	w := n.head()
+	d.Waiting = n.length
+	d.Urgency = wigeonladder.Urgency(w.level)
+	d.Oldest = time.Since(w.since).Milliseconds()
+	d.Estimate = w.request.Estimate
+	d.Prefix = w.request.Prefix
+	return d
+}
+
+// takeReleases returns the releases that wait for a home.
+func (q *Queue) takeReleases(c *contact) []wigeonladder.Release {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	batch := c.releases
+	c.releases = nil
+	c.used = time.Now()
+	return batch
+}
+
+// sendReleases sends releases, once more after a failure. If both fail, the
+// home ends the contracts when they are not renewed.
+func (q *Queue) sendReleases(ctx context.Context, c *contact, batch []wigeonladder.Release) {
+	if len(batch) == 0 {
+		return
+	}
+	for range 2 {
+		call, cancel := context.WithTimeout(ctx, callLimit)
+		err := q.o.Fleet.Home(c.vm).Release(call, batch)
+		cancel()
+		if err == nil {
+			return
+		}
+		q.o.Journal.Note("", "release failed", "home", c.vm, "contracts", len(batch), "error", err.Error())
+	}
+}
+
+// prune drops contacts that are members no more.
+func (q *Queue) prune(now time.Time) {
+	for vm, c := range q.contacts {
+		if now.Sub(c.used) < contactLife || slices.Contains(q.view.members, vm) {
+			continue
+		}
+		c.cancel()
+		delete(q.contacts, vm)
+	}
+}
--- /dev/null
+++ b/entry/dump.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// Dump is the state of a queue at one moment.
+type Dump struct {
+	Waiting []WaitingDump `json:"waiting"`
+	Held    []HeldDump    `json:"held"`
+	Homes   []HomeDump    `json:"homes"`
+}
+
+// WaitingDump is one waiting request.
+type WaitingDump struct {
+	Request   string               `json:"request"`
+	Service   string               `json:"service"`
+	Workspace string               `json:"workspace"`
+	Model     string               `json:"model,omitempty"`
+	Urgency   wigeonladder.Urgency `json:"urgency"`
+	// Wait is the time since the arrival in milliseconds.
+	Wait int64 `json:"wait"`
+}
+
+// HeldDump is one contract in use.
+type HeldDump struct {
+	Request  string                `json:"request"`
+	Contract wigeonladder.Contract `json:"contract"`
+	Home     string                `json:"home"`
+	Cost     int64                 `json:"cost"`
+	Recalled bool                  `json:"recalled,omitempty"`
+}
+
+// HomeDump is what the queue knows of one home.
+type HomeDump struct {
+	VM       string `json:"vm"`
+	Reported bool   `json:"reported"`
+	// Releases is the number of releases that wait to be sent.
+	Releases int  `json:"releases,omitempty"`
+	Failed   bool `json:"failed,omitempty"`
+}
+
+// Dump returns the state of the queue, sorted.
+func (q *Queue) Dump() Dump {
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var d Dump
+	for _, l := range q.lines {
+		d.Waiting = append(d.Waiting, l.dump(now)...)
+	}
+	for _, h := range q.held {
+		d.Held = append(d.Held, HeldDump{
+			Request: h.request, Contract: h.contract, Cost: h.cost, Recalled: h.recalled,
+			Home: q.view.servers[h.contract.Server].home,
+		})
+	}
+	for _, c := range q.contacts {
+		d.Homes = append(d.Homes, HomeDump{
+			VM: c.vm, Reported: c.reported, Releases: len(c.releases), Failed: !c.failed.IsZero(),
+		})
+	}
+	slices.SortFunc(d.Waiting, func(a, b WaitingDump) int { return cmp.Compare(a.Request, b.Request) })
+	slices.SortFunc(d.Held, func(a, b HeldDump) int { return cmp.Compare(a.Request, b.Request) })
+	slices.SortFunc(d.Homes, func(a, b HomeDump) int { return cmp.Compare(a.VM, b.VM) })
+	return d
+}
+
+// dump returns the waiting requests of a service.
+func (l *line) dump(now time.Time) []WaitingDump {
+	var all []WaitingDump
+	for _, s := range l.shelves {
+		for _, n := range s.lanes {
+			for i := range n.levels {
+				for e := n.levels[i].Front(); e != nil; e = e.Next() {
+					w := e.Value.(*waiter)
+					all = append(all, WaitingDump{
+						Request: w.request.ID, Service: l.service, Workspace: s.workspace, Model: n.model,
+						Urgency: wigeonladder.Urgency(w.level), Wait: now.Sub(w.since).Milliseconds(),
+					})
+				}
+			}
+		}
+	}
+	return all
+}
