--- /dev/null
+++ b/daemon/dump.go
@@ -0,0 +1,85 @@
+package daemon
+
+import (
+	"expvar"
+
+	"github.com/wigeonladder/wigeonladder/contract"
+	"github.com/wigeonladder/wigeonladder/entry"
+	"github.com/wigeonladder/wigeonladder/fair"
+	"github.com/wigeonladder/wigeonladder/operator"
+	"github.com/wigeonladder/wigeonladder/peer"
+	"github.com/wigeonladder/wigeonladder/platform"
+)
+
+// dumpDecisions is the number of newest decisions in a dump.
+const dumpDecisions = 50
+
+// Dump is the state of a daemon for operators.
+type Dump struct {
+	Name        string           `json:"name"`
+	Zone        string           `json:"zone"`
+	Incarnation string           `json:"incarnation"`
+	Stop        operator.Status  `json:"stop"`
+	Config      platform.Dump    `json:"config"`
+	Members     []string         `json:"members"`
+	Links       peer.Dump        `json:"links"`
+	Home        contract.Dump    `json:"home"`
+	Entry       entry.Dump       `json:"entry"`
+	Counters    fair.Dump        `json:"counters"`
+	Decisions   []operator.Event `json:"decisions"`
+}
+
+// Dump returns the state of the daemon.
+func (d *Daemon) Dump() Dump {
+	return Dump{
+		Name:        d.settings.Name,
+		Zone:        d.settings.Zone,
+		Incarnation: d.incarnation,
+		Stop:        d.Status(),
+		Config:      d.watcher.Dump(),
+		Members:     d.mesh.Members(),
+		Links:       d.mesh.Dump(),
+		Home:        d.ledger.Dump(),
+		Entry:       d.queue.Dump(),
+		Counters:    d.counters.Dump(),
+		Decisions:   d.journal.Last(dumpDecisions),
+	}
+}
+
+// Traffic returns the control traffic since the start.
+func (d *Daemon) Traffic() peer.Traffic { return d.mesh.Traffic() }
+
+// Metrics returns the metrics under their stable names. docs/OPERATORS.md
+// describes them.
+func (d *Daemon) Metrics() *expvar.Map {
+	m := new(expvar.Map).Init()
+	m.Set("events", d.journal.Counts())
+	m.Set("open_requests", expvar.Func(func() any { return d.caller.Open() }))
+	m.Set("running_tickets", expvar.Func(func() any { return d.book.Running() }))
+	m.Set("revision", expvar.Func(func() any { return d.watcher.Config().Revision }))
+	m.Set("members", expvar.Func(func() any { return len(d.mesh.Members()) }))
+	m.Set("traffic", expvar.Func(func() any { return d.mesh.Traffic() }))
+	m.Set("home", expvar.Func(func() any { return d.homeMetrics() }))
+	m.Set("waiting", expvar.Func(func() any { return len(d.queue.Dump().Waiting) }))
+	m.Set("contracts_held", expvar.Func(func() any { return len(d.queue.Dump().Held) }))
+	return m
+}
+
+// HomeMetrics are the gauges of the home role.
+type HomeMetrics struct {
+	Servers int `json:"servers"`
+	Slots   int `json:"slots"`
+	InUse   int `json:"in_use"`
+	// Demands is the number of reported demands of workspaces at entries.
+	Demands int `json:"demands"`
+}
+
+func (d *Daemon) homeMetrics() HomeMetrics {
+	h := d.ledger.Dump()
+	m := HomeMetrics{Servers: len(h.Servers), Demands: len(h.Demands)}
+	for _, s := range h.Servers {
+		m.Slots += s.Limit
+		m.InUse += s.InUse
+	}
+	return m
+}
