conn: watch connections while their request is handled

fasthttp does not read a connection while a handler runs, so a handler does not learn that the caller has gone. A background read of one byte does; the byte is handed to the next regular read.

--- /dev/null
+++ b/conn/conn.go
@@ -0,0 +1,172 @@
+// Package conn watches the connections that an HTTP server accepts. fasthttp
+// does not read a connection while a handler runs and so does not learn that
+// the caller has gone. A Conn reads one byte in the background meanwhile and
+// hands it to the next regular read.
+package conn
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// Listener accepts connections that can be watched.
+type Listener struct {
+	net.Listener
+	writeLimit time.Duration
+
+	mu   sync.Mutex
+	open map[*Conn]struct{}
+}
+
+// NewListener returns a listener whose connections fail a single write that
+// takes longer than writeLimit. Zero sets no limit.
+func NewListener(l net.Listener, writeLimit time.Duration) *Listener {
+	return &Listener{Listener: l, writeLimit: writeLimit, open: map[*Conn]struct{}{}}
+}
+
+// Accept returns the next connection as a *Conn.
+func (l *Listener) Accept() (net.Conn, error) {
+	n, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &Conn{Conn: n, listener: l}
+	l.mu.Lock()
+	l.open[c] = struct{}{}
+	l.mu.Unlock()
+	return c, nil
+}
+
+// Open returns the number of open connections.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
+}
+
+// CloseConns closes every open connection.
+func (l *Listener) CloseConns() {
+	l.mu.Lock()
+	open := make([]*Conn, 0, len(l.open))
+	for c := range l.open {
+		open = append(open, c)
+	}
+	l.mu.Unlock()
+	for _, c := range open {
+		_ = c.Close()
+	}
+}
+
+// Conn is an accepted connection.
+type Conn struct {
+	net.Conn
+	listener *Listener
+
+	mu    sync.Mutex
+	watch *watch
+	// held is a byte that a watch read ahead; err is the error that it met.
+	held    [1]byte
+	hasHeld bool
+	err     error
+}
+
+// watch is one background read.
+type watch struct {
+	done     chan struct{}
+	mu       sync.Mutex
+	stopping bool
+}
+
+// Watch calls gone once if the connection ends before stop is called. It sees
+// nothing after the peer has sent more bytes, such as a pipelined request. Stop
+// must be called before the next Read and may be called more than once.
+func (c *Conn) Watch(gone func()) (stop func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil {
+		go gone()
+		return func() {}
+	}
+	if c.hasHeld || c.watch != nil {
+		return func() {}
+	}
+	// Removes the deadline that the server set for reading the request.
+	if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
+		go gone()
+		return func() {}
+	}
+	w := &watch{done: make(chan struct{})}
+	c.watch = w
+	go func() {
+		defer close(w.done)
+		n, err := c.Conn.Read(c.held[:])
+		c.hasHeld = n == 1
+		if err == nil || w.stopped() && errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
+		c.err = err
+		gone()
+	}()
+	return func() { c.stop(w) }
+}
+
+// stopped reports whether the end of the watch was asked for.
+func (w *watch) stopped() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.stopping
+}
+
+// stop ends the background read and waits for it.
+func (c *Conn) stop(w *watch) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.watch != w {
+		return
+	}
+	w.mu.Lock()
+	w.stopping = true
+	w.mu.Unlock()
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	<-w.done
+	_ = c.Conn.SetReadDeadline(time.Time{})
+	c.watch = nil
+}
+
+// Read returns first what a watch has read ahead.
+func (c *Conn) Read(b []byte) (int, error) {
+	c.mu.Lock()
+	if c.hasHeld && len(b) > 0 {
+		b[0] = c.held[0]
+		c.hasHeld = false
+		c.mu.Unlock()
+		return 1, nil
+	}
+	err := c.err
+	c.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(b)
+}
+
+// Write writes within the listener's write limit.
+func (c *Conn) Write(b []byte) (int, error) {
+	if limit := c.listener.writeLimit; limit > 0 {
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(limit)); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Write(b)
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.open, c)
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
