--- /dev/null
+++ b/fake/answer.go
@@ -0,0 +1,55 @@
+package fake
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// defaultTokens is the length of an answer to a body without max_tokens.
+const defaultTokens = 16
+
+// chatBody is what the engine reads of a chat request.
+type chatBody struct {
+	MaxTokens int  `json:"max_tokens"`
+	Stream    bool `json:"stream"`
+}
+
+// Tokens returns the number of tokens in the engine's answer to a body.
+func Tokens(body []byte) int {
+	var b chatBody
+	if err := json.Unmarshal(body, &b); err != nil || b.MaxTokens <= 0 {
+		return defaultTokens
+	}
+	return b.MaxTokens
+}
+
+// Answer returns the whole text of the engine's answer to a body.
+func Answer(body []byte) string {
+	seed := xxhash.Sum64(body)
+	var s strings.Builder
+	for i := range Tokens(body) {
+		s.WriteString(token(seed, i))
+	}
+	return s.String()
+}
+
+// token returns token number i of the answer with the given seed.
+func token(seed uint64, i int) string {
+	h := (seed + uint64(i)) * 0x9e3779b97f4a7c15 // #nosec G115
+	h ^= h >> 29
+	return strconv.Itoa(i) + "-" + strconv.FormatUint(h&0xfffff, 36) + " "
+}
+
+// DeskAnswer returns the JSON answer of a plain service.
+func DeskAnswer(method, path string, body []byte) []byte {
+	answer, _ := json.Marshal(map[string]string{
+		"method": method,
+		"path":   path,
+		"echo":   string(body),
+		"sum":    strconv.FormatUint(xxhash.Sum64(body)^xxhash.Sum64String(method+" "+path), 16),
+	})
+	return answer
+}
