--- /dev/null
+++ b/caller/gone_test.go
@@ -0,0 +1,105 @@
+package caller_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/caller"
+	"github.com/wigeonladder/wigeonladder/fake"
+)
+
+// dialRaw sends the bytes of a request on a connection of its own.
+func dialRaw(t *testing.T, r *rig, request string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", r.url[len("http://"):])
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Write([]byte(request)); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// rawRequest returns the bytes of an HTTP request.
+func rawRequest(path, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: fleet\r\nAuthorization: Bearer key-alder\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+}
+
+// Guards against work that is sent for a caller that went while it waited.
+func TestCallerGoneWhileWaiting(t *testing.T) {
+	for name, request := range map[string]string{
+		"whole":  rawRequest("/v1/chat/completions", chatJSON("hello", 5, false)),
+		"stream": rawRequest("/v1/chat/completions", chatJSON("hello", 5, true)),
+		"plain":  rawRequest("/s/desk/status", "hello"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			waiting, ended := make(chan struct{}), make(chan error, 1)
+			r := newRig(t, fake.EngineOptions{}, func(r *rig, o *caller.Options) {
+				o.Runner = runner(func(ctx context.Context, q wigeonladder.Request, s wigeonladder.Sink) (wigeonladder.Usage, error) {
+					close(waiting)
+					<-ctx.Done()
+					u, err := r.run(ctx, q, s)
+					ended <- err
+					return u, err
+				})
+			})
+			c := dialRaw(t, r, request)
+			within(t, waiting, "the request waits")
+			is := is.New(t)
+			is.NoErr(c.Close())
+			var e *wigeonladder.Error
+			is.True(errors.As(within(t, ended, "the request ends"), &e))
+			is.Equal(e.Code, wigeonladder.CodeCallerGone)
+			is.Equal(r.engine.Served(), 0)
+			is.Equal(len(r.desk.AllRuns()), 0)
+		})
+	}
+}
+
+// Guards against a slot that stays taken by a stream nobody reads.
+func TestCallerGoneWhileStreaming(t *testing.T) {
+	ended := make(chan error, 1)
+	r := newRig(t, fake.EngineOptions{}, func(r *rig, o *caller.Options) {
+		o.Runner = runner(func(ctx context.Context, q wigeonladder.Request, s wigeonladder.Sink) (wigeonladder.Usage, error) {
+			u, err := r.run(ctx, q, s)
+			ended <- err
+			return u, err
+		})
+	})
+	r.engine.SetFaults(fake.EngineFaults{StallAfter: 3})
+	c := dialRaw(t, r, rawRequest("/v1/chat/completions", chatJSON("hello", 5, true)))
+	is := is.New(t)
+	_, err := c.Read(make([]byte, 1))
+	is.NoErr(err)
+	is.NoErr(c.Close())
+	var e *wigeonladder.Error
+	is.True(errors.As(within(t, ended, "the request ends"), &e))
+	is.Equal(e.Code, wigeonladder.CodeCallerLost)
+	waitFor(t, "the engine frees the slot", func() bool { return r.engine.Running() == 0 })
+	waitFor(t, "no request is open", func() bool { return r.server.Open() == 0 })
+}
+
+// Guards against a watched connection losing bytes: requests that follow on
+// the same connection must be read whole.
+func TestConnectionIsReused(t *testing.T) {
+	r := newRig(t, fake.EngineOptions{}, nil)
+	one := rawRequest("/s/desk/status", "one")
+	c := dialRaw(t, r, one+one+one)
+	defer c.Close()
+	for range 3 {
+		readReply(t, c)
+	}
+	for range 3 {
+		_, err := c.Write([]byte(one))
+		is.New(t).NoErr(err)
+		readReply(t, c)
+	}
+	is.New(t).Equal(r.desk.Runs(fake.RunKey("/status", []byte("one"))), 6)
+}
--- /dev/null
+++ b/caller/loop_test.go
@@ -0,0 +1,105 @@
+package caller_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/fake"
+)
+
+// Guards against answers that are incomplete, mixed up between callers or not
+// those of the engine, with many callers at once on shared connections.
+func TestEveryAnswerIsWhole(t *testing.T) {
+	r := newRig(t, fake.EngineOptions{Slots: 16, FirstToken: time.Millisecond, InterToken: 100 * time.Microsecond}, nil)
+	seed := uint64(time.Now().UnixNano())
+	t.Logf("seed %d", seed)
+	var g sync.WaitGroup
+	for n := range 64 {
+		g.Go(func() {
+			rnd := rand.New(rand.NewPCG(seed, uint64(n)))
+			for i := range 6 {
+				askOnce(t, r, rnd, fmt.Sprintf("%d/%d", n, i))
+			}
+		})
+	}
+	g.Wait()
+	is.New(t).Equal(r.engine.Running(), 0)
+}
+
+// askOnce asks for a stream, a whole answer or a plain call and compares it.
+func askOnce(t *testing.T, r *rig, rnd *rand.Rand, name string) {
+	prompt := name + strings.Repeat("x", rnd.IntN(9000))
+	stream := rnd.IntN(2) == 0
+	body := chatJSON(prompt, 1+rnd.IntN(60), stream)
+	if rnd.IntN(3) == 0 {
+		a := r.send("PUT", "/s/desk/status/"+name, "key-birch", prompt)
+		want := string(fake.DeskAnswer("PUT", "/status/"+name, []byte(prompt)))
+		if a.err != nil || a.status != 200 || a.body != want {
+			t.Errorf("%s: got %d %v %.200q", name, a.status, a.err, a.body)
+		}
+		return
+	}
+	a := r.chat(body)
+	text, done := wholeText(a.body), true
+	if stream {
+		text, done = streamText(a.body)
+	}
+	if a.err != nil || a.status != 200 || !done || text != fake.Answer([]byte(body)) {
+		t.Errorf("%s: got %d %v done=%v %.200q", name, a.status, a.err, done, a.body)
+	}
+}
+
+// Guards against a bad answer of a backend server passing for a good one.
+func TestBadAnswersEndInCodes(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults fake.EngineFaults
+		stream bool
+		// late is true if events were sent before the fault shows.
+		late bool
+		code wigeonladder.Code
+	}{
+		{"crossed stream", fake.EngineFaults{Crossed: true}, true, false, wigeonladder.CodeCrossed},
+		{"crossed whole", fake.EngineFaults{Crossed: true}, false, false, wigeonladder.CodeCrossed},
+		{"truncated stream", fake.EngineFaults{Truncate: true}, true, true, wigeonladder.CodeBroken},
+		{"truncated whole", fake.EngineFaults{Truncate: true}, false, false, wigeonladder.CodeBroken},
+		{"broken stream", fake.EngineFaults{BreakAfter: 5}, true, true, wigeonladder.CodeBroken},
+		{"lost token", fake.EngineFaults{Lose: 7}, true, true, wigeonladder.CodeBroken},
+		{"refused stream", fake.EngineFaults{Refuse: true}, true, false, wigeonladder.CodeRefused},
+		{"refused whole", fake.EngineFaults{Refuse: true}, false, false, wigeonladder.CodeRefused},
+		{"failed", fake.EngineFaults{Fail: true}, true, false, wigeonladder.CodeBackend},
+		{"crash", fake.EngineFaults{Marker: "hello"}, true, false, wigeonladder.CodeBroken},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, fake.EngineOptions{}, nil)
+			r.engine.SetFaults(c.faults)
+			body := chatJSON("hello", 20, c.stream)
+			a := r.chat(body)
+			if !c.late {
+				wantCode(t, a, c.code)
+				return
+			}
+			wantBrokenStream(t, a, c.code, fake.Answer([]byte(body)))
+		})
+	}
+}
+
+// wantBrokenStream asserts a true beginning, an error event and no end mark.
+func wantBrokenStream(t *testing.T, a reply, c wigeonladder.Code, whole string) {
+	t.Helper()
+	is := is.New(t)
+	is.NoErr(a.err)
+	is.Equal(a.status, 200)
+	text, done := streamText(a.body)
+	is.True(!done)
+	is.True(text != "" && text != whole)
+	is.True(strings.Contains(a.body, fmt.Sprintf("event: error\ndata: {\"code\":%d,", int(c))))
+}
--- /dev/null
+++ b/caller/server.go
@@ -0,0 +1,218 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/conn"
+)
+
+// Limits of the HTTP server.
+const (
+	// readLimit bounds the reading of one request.
+	readLimit = 30 * time.Second
+	// idleLimit is how long a connection without a request is kept. It is
+	// above the usual idle time of load balancers, so that they close first.
+	idleLimit = 75 * time.Second
+	// writeLimit bounds one write; a caller that reads nothing for so long
+	// loses its connection and gives up its slot.
+	writeLimit = 30 * time.Second
+	// maxHeader bounds a request's header in bytes. It is the size of the read
+	// buffer, which every open connection holds.
+	maxHeader = 4 << 10
+	// maxConnections is above what a process can open, so that fasthttp's own
+	// refusal, which carries no result code, is never sent.
+	maxConnections = 1 << 22
+	// cutGrace is the time for the last words to requests that are cut off.
+	cutGrace = time.Second
+	// cutPoll is how often the end of these requests is looked for.
+	cutPoll = 10 * time.Millisecond
+	// defaultMaxBody bounds a request's body in bytes.
+	defaultMaxBody = 4 << 20
+)
+
+// Options are the settings and the collaborators of a Server.
+type Options struct {
+	Listener net.Listener
+	// Config returns the configuration in force.
+	Config  func() wigeonladder.Config
+	Runner  wigeonladder.Runner
+	Tickets wigeonladder.Tickets
+	// MaxBody bounds a request's body in bytes; 4 MiB by default.
+	MaxBody int
+	// Draining tells load balancers to send no more; requests are served.
+	Draining func() bool
+	// Refusing refuses new requests.
+	Refusing func() bool
+	// Journal may be nil.
+	Journal wigeonladder.Journal
+	// NewID returns a new request id; a random one by default.
+	NewID func() string
+	// Name is the value of the Server header; empty for none.
+	Name string
+}
+
+// withDefaults returns a copy with the defaults filled in.
+func (o Options) withDefaults() Options {
+	never := func() bool { return false }
+	if o.Draining == nil {
+		o.Draining = never
+	}
+	if o.Refusing == nil {
+		o.Refusing = never
+	}
+	if o.NewID == nil {
+		o.NewID = uuid.NewString
+	}
+	if o.MaxBody == 0 {
+		o.MaxBody = defaultMaxBody
+	}
+	if o.Journal == nil {
+		o.Journal = silent{}
+	}
+	return o
+}
+
+// silent is a journal that keeps nothing.
+type silent struct{}
+
+// Note implements wigeonladder.Journal.
+func (silent) Note(string, string, ...any) {}
+
+// Server answers callers.
+type Server struct {
+	options  Options
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	http     *fasthttp.Server
+	listener *conn.Listener
+	index    atomic.Pointer[index]
+	open     atomic.Int64
+	served   sync.WaitGroup
+}
+
+// NewServer serves callers on the listener until the context ends or Shutdown
+// is called. The end of the context cancels the open requests and closes the
+// connections.
+func NewServer(ctx context.Context, o Options) *Server {
+	o = o.withDefaults()
+	s := &Server{options: o, listener: conn.NewListener(o.Listener, writeLimit)}
+	s.ctx, s.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
+	s.http = &fasthttp.Server{
+		Handler:                      s.handle,
+		ErrorHandler:                 s.handleError,
+		Name:                         o.Name,
+		NoDefaultServerHeader:        o.Name == "",
+		ReadTimeout:                  readLimit,
+		IdleTimeout:                  idleLimit,
+		ReadBufferSize:               maxHeader,
+		WriteBufferSize:              maxHeader,
+		MaxRequestBodySize:           o.MaxBody,
+		Concurrency:                  maxConnections,
+		CloseOnShutdown:              true,
+		DisablePreParseMultipartForm: true,
+		NoDefaultContentType:         true,
+		Logger:                       httpLog{o.Journal},
+	}
+	s.served.Go(func() {
+		if err := s.http.Serve(s.listener); err != nil {
+			o.Journal.Note("", "caller.stopped", "error", err)
+		}
+	})
+	context.AfterFunc(ctx, func() { _ = s.Shutdown(ctx) })
+	return s
+}
+
+// Open returns the number of open requests.
+func (s *Server) Open() int { return int(s.open.Load()) }
+
+// Shutdown closes the listener and waits for the open requests. If the context
+// ends first, they are cut off with CodeBroken and the context's error is
+// returned.
+func (s *Server) Shutdown(ctx context.Context) error {
+	err := s.http.ShutdownWithContext(ctx)
+	s.cancel(wigeonladder.Errorf(wigeonladder.CodeBroken, "", "the daemon stopped"))
+	s.settle()
+	s.listener.CloseConns()
+	s.served.Wait()
+	return err
+}
+
+// settle waits until the requests that were cut off are answered.
+func (s *Server) settle() {
+	limit := time.NewTimer(cutGrace)
+	defer limit.Stop()
+	tick := time.NewTicker(cutPoll)
+	defer tick.Stop()
+	for s.listener.Open() > 0 {
+		select {
+		case <-limit.C:
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// httpLog takes the log lines of fasthttp.
+type httpLog struct{ journal wigeonladder.Journal }
+
+// Printf implements fasthttp.Logger. The lines repeat what handleError has
+// answered and may quote a request, so only the event is kept.
+func (l httpLog) Printf(string, ...any) {
+	l.journal.Note("", "caller.connection-error")
+}
+
+// handle answers one request.
+func (s *Server) handle(c *fasthttp.RequestCtx) {
+	path := string(c.Path())
+	if path == "/ready" {
+		s.ready(c)
+		return
+	}
+	id := s.options.NewID()
+	c.Response.Header.Set(headerRequest, id)
+	if s.options.Refusing() || s.ctx.Err() != nil {
+		c.SetConnectionClose()
+		writeError(c, wigeonladder.Errorf(wigeonladder.CodeDraining, "", "the daemon is stopping").WithRetryAfter(1))
+		return
+	}
+	r, err := s.parse(c, id, path)
+	if err != nil {
+		s.note(r, id, err)
+		writeError(c, err)
+		return
+	}
+	if path == ticketsPath {
+		s.issue(c, r)
+		return
+	}
+	s.run(c, r)
+}
+
+// ready tells a load balancer whether to send requests.
+func (s *Server) ready(c *fasthttp.RequestCtx) {
+	c.SetContentType("text/plain; charset=utf-8")
+	if s.options.Draining() || s.options.Refusing() {
+		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		c.SetBodyString("draining\n")
+		return
+	}
+	c.SetBodyString("ready\n")
+}
+
+// note records the end of a request.
+func (s *Server) note(r wigeonladder.Request, id string, err error) {
+	code := wigeonladder.CodeOK
+	if err != nil {
+		code = asError(err).Code
+	}
+	s.options.Journal.Note(id, "caller.ended",
+		"workspace", r.Workspace, "service", r.Service, "code", int(code))
+}
