--- /dev/null
+++ b/member/servers.go
@@ -0,0 +1,106 @@
+package member
+
+import (
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// Servers holds the states of backend servers. The list with the highest
+// version decides, whether it came from the platform or from a peer, so a
+// server that was listed as leaving becomes live only by a newer list. It is
+// safe for concurrent use.
+type Servers struct {
+	mu      sync.Mutex
+	version uint64
+	leaving map[string]bool
+	// listed holds the names that the platform's list had, to notice those
+	// that vanish from it.
+	listed map[string]bool
+}
+
+// NewServers returns states in which every server is live.
+func NewServers() *Servers {
+	return &Servers{leaving: map[string]bool{}, listed: map[string]bool{}}
+}
+
+// Leaving is a list of leaving servers and its version.
+type Leaving struct {
+	Version uint64   `json:"v,omitempty"`
+	Servers []string `json:"s,omitempty"`
+}
+
+// List takes over the platform's list. A registered server that was listed and
+// is no longer is leaving; one that was never listed is live, because the list
+// lags behind. It reports whether a state changed.
+func (s *Servers) List(l wigeonladder.LiveList, registered func(string) bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.Version <= s.version {
+		return false
+	}
+	leaving := map[string]bool{}
+	listed := map[string]bool{}
+	for _, v := range l.VMs {
+		listed[v.Name] = true
+		if v.State == wigeonladder.StateLeaving {
+			leaving[v.Name] = true
+		}
+	}
+	for _, old := range []map[string]bool{s.listed, s.leaving} {
+		for name := range old {
+			if !listed[name] && registered(name) {
+				leaving[name] = true
+			}
+		}
+	}
+	s.listed = listed
+	return s.set(l.Version, leaving)
+}
+
+// Hear takes over the list of a peer. It reports whether a state changed.
+func (s *Servers) Hear(l Leaving) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.Version <= s.version {
+		return false
+	}
+	leaving := map[string]bool{}
+	for _, name := range l.Servers {
+		leaving[name] = true
+	}
+	return s.set(l.Version, leaving)
+}
+
+// set replaces the leaving servers.
+func (s *Servers) set(version uint64, leaving map[string]bool) bool {
+	changed := !maps.Equal(s.leaving, leaving)
+	s.version, s.leaving = version, leaving
+	return changed
+}
+
+// Version returns the version of the list that decides.
+func (s *Servers) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+// Leaving returns the leaving servers, sorted.
+func (s *Servers) Leaving() Leaving {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Leaving{Version: s.version, Servers: slices.Sorted(maps.Keys(s.leaving))}
+}
+
+// State returns the state of a server.
+func (s *Servers) State(server string) wigeonladder.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving[server] {
+		return wigeonladder.StateLeaving
+	}
+	return wigeonladder.StateLive
+}
--- /dev/null
+++ b/peer/call.go
@@ -0,0 +1,130 @@
+package peer
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/ticket"
+)
+
+// call sends a request to another daemon.
+func (m *Mesh) call(ctx context.Context, vm, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, deadlines[method])
+	defer cancel()
+	address, _ := m.table.Address(vm)
+	l, err := m.link(ctx, vm, address)
+	if err != nil {
+		return err
+	}
+	return l.call(ctx, method, params, result)
+}
+
+// Home implements wigeonladder.Fleet. The own home is called directly.
+func (m *Mesh) Home(vm string) wigeonladder.Home {
+	if vm == m.o.Self.Name {
+		if home, _, _ := m.roles(); home != nil {
+			return home
+		}
+	}
+	return stub{m, vm}
+}
+
+// Entry implements wigeonladder.Fleet. The own entry is called directly.
+func (m *Mesh) Entry(vm string) wigeonladder.Entry {
+	if vm == m.o.Self.Name {
+		if _, entry, _ := m.roles(); entry != nil {
+			return entry
+		}
+	}
+	return stub{m, vm}
+}
+
+// Holds asks whether an entry holds a contract on a server.
+func (m *Mesh) Holds(ctx context.Context, vm, server string) (bool, error) {
+	if vm == m.o.Self.Name {
+		return m.holds(server), nil
+	}
+	var held bool
+	err := m.call(ctx, vm, methodHolds, holds{server}, &held)
+	return held || err != nil, err
+}
+
+// Forward runs a request at the incarnation that issued its ticket. Any error
+// leaves open whether it ran.
+func (m *Mesh) Forward(ctx context.Context, vm, incarnation string, r wigeonladder.Request) (ticket.Outcome, error) {
+	if vm == m.o.Self.Name {
+		_, _, tickets := m.roles()
+		if tickets == nil {
+			return ticket.Outcome{}, errNotReady
+		}
+		return tickets.RunForwarded(ctx, incarnation, r), nil
+	}
+	var out ticket.Outcome
+	err := m.call(ctx, vm, methodTicket, newTicketRun(incarnation, r), &out)
+	return out, err
+}
+
+// Dump returns the state of the mesh.
+func (m *Mesh) Dump() Dump {
+	d := Dump{Records: m.table.Dump(), Leaving: m.servers.Leaving(), Traffic: m.Traffic()}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	d.Links = slices.Sorted(maps.Keys(m.links))
+	return d
+}
+
+// stub calls the roles of another daemon.
+type stub struct {
+	mesh *Mesh
+	vm   string
+}
+
+// do calls a method without a result.
+func (s stub) do(ctx context.Context, method string, params any) error {
+	if s.vm == s.mesh.o.Self.Name {
+		return errNotReady
+	}
+	return s.mesh.call(ctx, s.vm, method, params, nil)
+}
+
+// Ask implements wigeonladder.Home.
+func (s stub) Ask(ctx context.Context, a wigeonladder.Ask) (wigeonladder.Offer, error) {
+	if s.vm == s.mesh.o.Self.Name {
+		return wigeonladder.Offer{}, errNotReady
+	}
+	var o wigeonladder.Offer
+	err := s.mesh.call(ctx, s.vm, methodAsk, a, &o)
+	return o, err
+}
+
+// Demand implements wigeonladder.Home. Calls that follow each other keep their
+// order.
+func (s stub) Demand(ctx context.Context, r wigeonladder.DemandReport) error {
+	s.mesh.mu.Lock()
+	s.mesh.reports++
+	d := demand{Number: s.mesh.reports, Incarnation: s.mesh.o.Incarnation, Report: r}
+	s.mesh.mu.Unlock()
+	return s.do(ctx, methodDemand, d)
+}
+
+// Renew implements wigeonladder.Home.
+func (s stub) Renew(ctx context.Context, r wigeonladder.Renewal) error {
+	return s.do(ctx, methodRenew, r)
+}
+
+// Release implements wigeonladder.Home.
+func (s stub) Release(ctx context.Context, r []wigeonladder.Release) error {
+	return s.do(ctx, methodRelease, releases{r})
+}
+
+// Grant implements wigeonladder.Entry.
+func (s stub) Grant(ctx context.Context, cs []wigeonladder.Contract) error {
+	return s.do(ctx, methodGrant, grant{cs})
+}
+
+// Recall implements wigeonladder.Entry.
+func (s stub) Recall(ctx context.Context, ids []wigeonladder.ContractID) error {
+	return s.do(ctx, methodRecall, recall{ids})
+}
--- /dev/null
+++ b/peer/dial.go
@@ -0,0 +1,210 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/wigeonladder/wigeonladder/member"
+)
+
+// Times of dialling.
+const (
+	dialWithin   = time.Second
+	firstBackoff = 100 * time.Millisecond
+	// maxBackoff is short enough that a partition that ends is noticed within
+	// the time in which a silent member becomes suspect.
+	maxBackoff = 2 * time.Second
+)
+
+// Errors of dialling. After each of them nothing was sent.
+var (
+	errUnknown = errors.New("no address is known")
+	errBackoff = errors.New("the last dial failed; waiting to dial again")
+)
+
+// dial is the state of the way to one address.
+type dial struct {
+	// done is closed when the dial under way ends; nil if none is.
+	done  chan struct{}
+	until time.Time
+	wait  *backoff.ExponentialBackOff
+}
+
+// link returns the connection to a daemon and dials one if there is none. The
+// VM is empty for a seed.
+func (m *Mesh) link(ctx context.Context, vm, address string) (*link, error) {
+	for {
+		l, d, mine, err := m.way(vm, address)
+		if l != nil || err != nil {
+			return l, err
+		}
+		if mine {
+			return m.dial(vm, address, d)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-d.done:
+		}
+	}
+}
+
+// way returns the connection to a daemon, or the dial to wait for, or a dial
+// that the caller must make.
+func (m *Mesh) way(vm, address string) (l *link, d *dial, mine bool, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if l := m.links[vm]; l != nil && vm != "" && l.alive() {
+		return l, nil, false, nil
+	}
+	if address == "" {
+		return nil, nil, false, errUnknown
+	}
+	d = m.dials[address]
+	if d == nil {
+		d = &dial{wait: backoff.NewExponentialBackOff()}
+		d.wait.InitialInterval, d.wait.MaxInterval = firstBackoff, maxBackoff
+		d.wait.RandomizationFactor = 0
+		m.dials[address] = d
+	}
+	if d.done != nil {
+		return nil, &dial{done: d.done}, false, nil
+	}
+	if time.Now().Before(d.until) {
+		return nil, nil, false, errBackoff
+	}
+	d.done = make(chan struct{})
+	return nil, d, true, nil
+}
+
+// dial connects to an address and learns who is there. It does not end with the
+// caller, because others wait for the same connection.
+func (m *Mesh) dial(vm, address string, d *dial) (*link, error) {
+	ctx, cancel := context.WithTimeout(m.ctx, dialWithin)
+	defer cancel()
+	l, err := m.connect(ctx, vm, address)
+	wait := m.jitter(time.Second)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	close(d.done)
+	d.done = nil
+	if err != nil {
+		// Half of the wait is random, so that daemons do not dial in step.
+		next := d.wait.NextBackOff()
+		d.until = time.Now().Add(next/2 + time.Duration(float64(next/2)*wait.Seconds()))
+		return nil, err
+	}
+	delete(m.dials, address)
+	return l, nil
+}
+
+// connect dials, greets and registers the connection.
+func (m *Mesh) connect(ctx context.Context, vm, address string) (*link, error) {
+	c, err := m.o.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	l := m.newLink(c, true)
+	var who member.Record
+	if err := l.call(ctx, methodHello, m.table.Self(), &who); err != nil {
+		l.close()
+		return nil, err
+	}
+	if who.VM == m.o.Self.Name || vm != "" && who.VM != vm {
+		l.close()
+		return nil, fmt.Errorf("%s is VM %s, not %q", address, who.VM, vm)
+	}
+	m.register(l, who.VM)
+	return l, nil
+}
+
+// register makes a connection usable for calls to the VM on its other side. If
+// both sides dialled, both use the connection that the lower name dialled; the
+// other one is closed once it is idle.
+func (m *Mesh) register(l *link, vm string) {
+	l.name(vm)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old := m.links[vm]
+	lower := m.o.Self.Name < vm
+	if old == nil || !old.alive() || old.dialled == l.dialled || l.dialled == lower {
+		m.links[vm] = l
+	}
+}
+
+// closeIdle closes connections that this daemon dialled and does not use, and
+// forgets those that ended.
+func (m *Mesh) closeIdle() {
+	m.mu.Lock()
+	var idle []*link
+	for vm, l := range m.links {
+		switch {
+		case !l.alive():
+			delete(m.links, vm)
+		case l.idle():
+			delete(m.links, vm)
+			idle = append(idle, l)
+		}
+	}
+	m.mu.Unlock()
+	for _, l := range idle {
+		l.close()
+	}
+}
+
+// close ends the listener; the connections end with the context.
+func (m *Mesh) close() {
+	_ = m.o.Listener.Close()
+}
+
+// accept serves the links that peers dial.
+func (m *Mesh) accept() {
+	for {
+		c, err := m.o.Listener.Accept()
+		if m.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			m.note("accept_failed", "error", err)
+			m.sleep(firstBackoff)
+			continue
+		}
+		if !m.trusts(c.RemoteAddr()) {
+			m.note("link_refused", "from", c.RemoteAddr())
+			_ = c.Close()
+			continue
+		}
+		m.newLink(c, false)
+	}
+}
+
+// trusts reports whether links from an address are accepted: any before a
+// register is known, then those of its VMs and of the seeds. In-memory pipes
+// have no address and are accepted.
+func (m *Mesh) trusts(a net.Addr) bool {
+	c := m.o.Config()
+	if c.Revision == 0 || a.Network() == "pipe" {
+		return true
+	}
+	addresses := slices.Clone(m.o.Seeds)
+	for _, v := range c.Register.VMs {
+		addresses = append(addresses, v.Peer)
+	}
+	ip := hostIP(a.String())
+	return ip != nil && slices.ContainsFunc(addresses, func(s string) bool { return ip.Equal(hostIP(s)) })
+}
+
+// hostIP returns the IP address of an address with a port; nil if it has none.
+func hostIP(address string) net.IP {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil
+	}
+	return net.ParseIP(host)
+}
--- /dev/null
+++ b/peer/mesh.go
@@ -0,0 +1,281 @@
+package peer
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/member"
+	"github.com/wigeonladder/wigeonladder/ticket"
+)
+
+// Options configure a Mesh.
+type Options struct {
+	// Self is the VM of this daemon; Incarnation names this start of it. A
+	// short incarnation keeps heartbeats small.
+	Self        wigeonladder.VM
+	Incarnation string
+	// Listener accepts the links of peers. The mesh closes it.
+	Listener net.Listener
+	// Dial connects to the peer address of a daemon.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Config returns the configuration in force; revision 0 means none.
+	Config func() wigeonladder.Config
+	// Live returns the newest live list of the platform.
+	Live func() wigeonladder.LiveList
+	// Document returns the document of the configuration in force.
+	Document func() []byte
+	// Offer takes a document that a peer has; an error rejects it.
+	Offer func([]byte) error
+	// Counters and Suspects are exchanged with the heartbeats; nil for none.
+	Counters wigeonladder.Counters
+	Suspects wigeonladder.Suspects
+	// Seeds are peer addresses to try before a register is known.
+	Seeds []string
+	// Journal records links and verdicts; nil for none.
+	Journal wigeonladder.Journal
+	// Seed makes the jitter repeatable; 0 for a random one.
+	Seed uint64
+}
+
+// TicketRunner runs requests that other daemons forward. ticket.Book
+// implements it.
+type TicketRunner interface {
+	RunForwarded(ctx context.Context, incarnation string, r wigeonladder.Request) ticket.Outcome
+}
+
+// Holder is implemented by an entry role that can tell whether it holds a
+// contract on a server. An entry without it counts as holding one.
+type Holder interface {
+	Holds(server string) bool
+}
+
+// Times of heartbeats.
+const (
+	// beatEvery is the mean period of heartbeats; beatJitter the part of it by
+	// which they vary, so that the rounds of daemons do not align.
+	beatEvery  = time.Second
+	beatJitter = 0.2
+	// spreadGap is the shortest time between two rounds.
+	spreadGap = 50 * time.Millisecond
+	// spreadRate and spreadBurst bound the extra rounds for news, so that a
+	// rejoin or a flood of restarts cannot multiply the traffic.
+	spreadRate  = 1.0
+	spreadBurst = 3
+)
+
+// Mesh links one daemon with the others. It implements wigeonladder.Fleet.
+type Mesh struct {
+	o       Options
+	ctx     context.Context
+	table   *member.Table
+	servers *member.Servers
+	meter   *meter
+	spread  chan struct{}
+	extra   *rate.Limiter
+	offers  offers
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	home    wigeonladder.Home
+	entry   wigeonladder.Entry
+	tickets TicketRunner
+	changed chan struct{}
+	version uint64
+	links   map[string]*link
+	dials   map[string]*dial
+	peers   map[string]*remote
+	rows    map[row]wigeonladder.Charge
+	charges wigeonladder.Charges
+	// reports is the number of the last demand report that was sent.
+	reports uint64
+}
+
+var _ wigeonladder.Fleet = (*Mesh)(nil)
+
+// remote is what is remembered about a peer beside its membership.
+type remote struct {
+	incarnation string
+	// version is the version of its list of leaving servers.
+	version uint64
+	// told is true once it got all charges of this home.
+	told bool
+	// busy is true while a heartbeat to it is under way.
+	busy bool
+	// report is the number of its last demand report, sender its incarnation.
+	report uint64
+	sender string
+}
+
+// NewMesh starts a mesh. It accepts links and sends heartbeats until the
+// context ends.
+func NewMesh(ctx context.Context, o Options) *Mesh {
+	if o.Seed == 0 {
+		var b [8]byte
+		_, _ = crand.Read(b[:])
+		o.Seed = binary.LittleEndian.Uint64(b[:])
+	}
+	m := &Mesh{
+		o:       o,
+		ctx:     ctx,
+		table:   member.NewTable(member.Options{Self: o.Self, Incarnation: o.Incarnation, Seeds: o.Seeds}),
+		servers: member.NewServers(),
+		meter:   newMeter(),
+		spread:  make(chan struct{}, 1),
+		extra:   rate.NewLimiter(spreadRate, spreadBurst),
+		random:  rand.New(rand.NewPCG(o.Seed, 1)),
+		changed: make(chan struct{}),
+		links:   map[string]*link{},
+		dials:   map[string]*dial{},
+		peers:   map[string]*remote{},
+		rows:    map[row]wigeonladder.Charge{},
+	}
+	m.note("mesh_start", "incarnation", o.Incarnation, "seed", o.Seed)
+	m.learn()
+	go func() { m.accept() }()
+	go func() { m.beats() }()
+	context.AfterFunc(ctx, m.close)
+	return m
+}
+
+// Serve sets the roles of this daemon. Calls of peers to them fail before.
+func (m *Mesh) Serve(h wigeonladder.Home, e wigeonladder.Entry, t TicketRunner) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.home, m.entry, m.tickets = h, e, t
+}
+
+// SetDraining tells the fleet that this daemon is stopping, or no longer.
+func (m *Mesh) SetDraining(draining bool) {
+	m.table.SetDraining(draining)
+	m.notify()
+	m.Spread()
+}
+
+// Spread sends a round of heartbeats soon. Extra rounds are limited; beyond the
+// limit the news goes with the next ordinary round.
+func (m *Mesh) Spread() {
+	select {
+	case m.spread <- struct{}{}:
+	default:
+	}
+}
+
+// Changed returns a channel that is closed at the next change of the members,
+// of the homes or of the state of a backend server.
+func (m *Mesh) Changed() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
+
+// notify closes the channel of Changed if the membership changed.
+func (m *Mesh) notify() {
+	version := m.table.Version()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if version == m.version {
+		return
+	}
+	m.version = version
+	m.wake()
+}
+
+// wake closes the channel of Changed.
+func (m *Mesh) wake() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Traffic returns the traffic since the start.
+func (m *Mesh) Traffic() Traffic { return m.meter.traffic() }
+
+// Dump is the state of a mesh for operators.
+type Dump struct {
+	Records []member.Record `json:"records"`
+	Leaving member.Leaving  `json:"leaving"`
+	Links   []string        `json:"links"`
+	Traffic Traffic         `json:"traffic"`
+}
+
+// Self implements wigeonladder.Fleet.
+func (m *Mesh) Self() string { return m.o.Self.Name }
+
+// Members implements wigeonladder.Fleet. Suspect and draining daemons are
+// members until they are dead.
+func (m *Mesh) Members() []string { return m.table.Members() }
+
+// HomeOf implements wigeonladder.Fleet.
+func (m *Mesh) HomeOf(s wigeonladder.Server) (string, bool) { return m.table.HomeOf(s) }
+
+// State implements wigeonladder.Fleet.
+func (m *Mesh) State(server string) wigeonladder.State { return m.servers.State(server) }
+
+// Incarnations returns the incarnation that is known to be alive under a VM
+// name, for tickets. It is empty with true if the VM is certainly gone.
+func (m *Mesh) Incarnations(vm string) (string, bool) {
+	if m.table.Gone(vm) {
+		return "", true
+	}
+	r, ok := m.table.Lookup(vm)
+	if !ok || r.State == member.Dead {
+		return "", false
+	}
+	return r.Incarnation, true
+}
+
+// learn takes over the register and the live list.
+func (m *Mesh) learn() {
+	register := m.o.Config().Register
+	live := m.o.Live()
+	m.table.Learn(register.VMs, live)
+	registered := map[string]bool{}
+	for _, s := range register.Services {
+		for _, b := range s.Servers {
+			registered[b.Name] = true
+		}
+	}
+	if m.servers.List(live, func(name string) bool { return registered[name] }) {
+		m.serversChanged()
+	}
+	m.notify()
+}
+
+// serversChanged spreads a change of the servers' states.
+func (m *Mesh) serversChanged() {
+	m.mu.Lock()
+	m.wake()
+	m.mu.Unlock()
+	m.Spread()
+}
+
+// jitter returns a duration between zero and d.
+func (m *Mesh) jitter(d time.Duration) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Duration(m.random.Float64() * float64(d))
+}
+
+// note records an event if there is a journal.
+func (m *Mesh) note(event string, fields ...any) {
+	if m.o.Journal != nil {
+		m.o.Journal.Note("", event, fields...)
+	}
+}
+
+// remote returns what is remembered about a peer. The lock must be held.
+func (m *Mesh) remote(vm string) *remote {
+	r := m.peers[vm]
+	if r == nil {
+		r = &remote{}
+		m.peers[vm] = r
+	}
+	return r
+}
--- /dev/null
+++ b/peer/net_test.go
@@ -0,0 +1,279 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/ticket"
+)
+
+// wires is an in-memory network of pipes that can cut and hold links.
+type wires struct {
+	mu        sync.Mutex
+	listeners map[string]*pipes
+	open      map[*wire]bool
+	cut       map[[2]string]bool
+}
+
+type pipes struct {
+	in   chan net.Conn
+	done chan struct{}
+	once sync.Once
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.in:
+		return c, nil
+	case <-p.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Close() error   { p.once.Do(func() { close(p.done) }); return nil }
+func (p *pipes) Addr() net.Addr { return nil }
+
+// wire is one end of a pipe.
+type wire struct {
+	net.Conn
+	ends [2]string
+	net  *wires
+}
+
+// Write delays nothing; over a cut link it blocks until the deadline, as a
+// network that drops packets does once buffers are full.
+func (w *wire) Write(b []byte) (int, error) {
+	if w.net.isCut(w.ends[0], w.ends[1]) {
+		time.Sleep(writeWithin)
+		return 0, errors.New("write timed out")
+	}
+	return w.Conn.Write(b)
+}
+
+func (w *wires) isCut(a, b string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut[[2]string{a, b}]
+}
+
+func (w *wires) setCut(a, b string, cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut[[2]string{a, b}], w.cut[[2]string{b, a}] = cut, cut
+}
+
+func (w *wires) listen(address string) net.Listener {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p := &pipes{in: make(chan net.Conn), done: make(chan struct{})}
+	w.listeners[address] = p
+	return p
+}
+
+func (w *wires) dial(from string) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, to string) (net.Conn, error) {
+		w.mu.Lock()
+		p := w.listeners[to]
+		w.mu.Unlock()
+		if p == nil {
+			return nil, errors.New("connection refused")
+		}
+		if w.isCut(from, to) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		a, b := net.Pipe()
+		select {
+		case p.in <- &wire{b, [2]string{to, from}, w}:
+			return &wire{a, [2]string{from, to}, w}, nil
+		case <-p.done:
+			return nil, errors.New("connection refused")
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// node is one daemon under test with fakes for its roles.
+type node struct {
+	*Mesh
+	vm     wigeonladder.VM
+	cancel context.CancelFunc
+
+	mu       sync.Mutex
+	config   wigeonladder.Config
+	live     wigeonladder.LiveList
+	offered  int
+	imported []wigeonladder.Charges
+	demands  []wigeonladder.DemandReport
+	grants   int
+	block    chan struct{}
+	charges  wigeonladder.Charges
+}
+
+// fleet is a set of daemons on one network.
+type fleet struct {
+	t      *testing.T
+	net    *wires
+	config wigeonladder.Config
+	nodes  map[string]*node
+}
+
+// newFleet returns a fleet whose register has the given number of VMs in up to
+// three zones.
+func newFleet(t *testing.T, size int) *fleet {
+	f := &fleet{t: t, nodes: map[string]*node{}, net: &wires{
+		listeners: map[string]*pipes{}, cut: map[[2]string]bool{},
+	}}
+	f.config.Revision = 1
+	for i := range size {
+		f.config.Register.VMs = append(f.config.Register.VMs, wigeonladder.VM{
+			Name: fmt.Sprintf("vm-%03d", i), Zone: fmt.Sprintf("zone-%d", i%3), Peer: fmt.Sprintf("10.0.0.%d:7000", i),
+		})
+	}
+	return f
+}
+
+// start starts the daemon with the given index and configuration.
+func (f *fleet) start(i int, incarnation string, c wigeonladder.Config, seeds ...string) *node {
+	ctx, cancel := context.WithCancel(f.t.Context())
+	n := &node{vm: f.config.Register.VMs[i], cancel: cancel, config: c, block: make(chan struct{})}
+	n.charges.Home = incarnation
+	n.Mesh = NewMesh(ctx, Options{
+		Self: n.vm, Incarnation: incarnation, Seeds: seeds, Seed: uint64(i + 1),
+		Listener: f.net.listen(n.vm.Peer), Dial: f.net.dial(n.vm.Peer),
+		Config: n.getConfig, Live: n.getLive, Document: func() []byte { return []byte("doc") },
+		Offer: f.offer(n), Counters: n, Suspects: nil,
+	})
+	n.Serve(n, n, n)
+	f.nodes[n.vm.Name] = n
+	return n
+}
+
+// startAll starts all daemons with the fleet's configuration.
+func (f *fleet) startAll() {
+	for i := range f.config.Register.VMs {
+		f.start(i, fmt.Sprintf("a%d", i), f.config)
+	}
+}
+
+// stop ends all daemons and lets their goroutines end.
+func (f *fleet) stop() {
+	for _, n := range f.nodes {
+		n.cancel()
+	}
+	time.Sleep(time.Minute)
+	synctest.Wait()
+}
+
+// within waits at most d for a condition and returns how long it took.
+func (f *fleet) within(d time.Duration, what string, ok func() bool) time.Duration {
+	f.t.Helper()
+	start := time.Now()
+	for !ok() {
+		if time.Since(start) > d {
+			f.t.Fatalf("not within %v: %s", d, what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+// agree reports whether all running daemons know exactly the running ones.
+func (f *fleet) agree() bool {
+	for _, n := range f.nodes {
+		if n.ctx.Err() == nil && len(n.Members()) != f.running() {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) running() int {
+	running := 0
+	for _, n := range f.nodes {
+		if n.ctx.Err() == nil {
+			running++
+		}
+	}
+	return running
+}
+
+func (f *fleet) offer(n *node) func([]byte) error {
+	return func([]byte) error {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.config = f.config
+		n.offered++
+		return nil
+	}
+}
+
+func (n *node) getConfig() wigeonladder.Config {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.config
+}
+
+func (n *node) getLive() wigeonladder.LiveList {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.live
+}
+
+func (n *node) Export() wigeonladder.Charges {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := n.charges
+	n.charges.Rows = nil
+	return c
+}
+
+func (n *node) Import(c wigeonladder.Charges) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.imported = append(n.imported, c)
+}
+
+func (n *node) Ask(context.Context, wigeonladder.Ask) (wigeonladder.Offer, error) {
+	return wigeonladder.Offer{Free: 7}, nil
+}
+
+func (n *node) Demand(_ context.Context, r wigeonladder.DemandReport) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.demands = append(n.demands, r)
+	return nil
+}
+
+func (n *node) Renew(context.Context, wigeonladder.Renewal) error {
+	return wigeonladder.Errorf(wigeonladder.CodeContract, "here", "too late").WithRetryAfter(3)
+}
+
+func (n *node) Release(context.Context, []wigeonladder.Release) error {
+	return errors.New("plain")
+}
+
+func (n *node) Grant(_ context.Context, cs []wigeonladder.Contract) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.grants += len(cs)
+	return nil
+}
+
+func (n *node) Recall(context.Context, []wigeonladder.ContractID) error { return nil }
+
+func (n *node) RunForwarded(ctx context.Context, incarnation string, r wigeonladder.Request) ticket.Outcome {
+	select {
+	case <-n.block:
+	case <-ctx.Done():
+	}
+	return ticket.Outcome{Status: 200, Body: []byte(incarnation + r.Path)}
+}
--- /dev/null
+++ b/peer/traffic.go
@@ -0,0 +1,69 @@
+package peer
+
+import (
+	"maps"
+	"sync"
+)
+
+// Count is a number of messages and their bytes.
+type Count struct {
+	Messages int64 `json:"messages"`
+	Bytes    int64 `json:"bytes"`
+}
+
+// Traffic is what a mesh sent and received since its start, by method. Answers
+// count for the method of their request. Bytes are those of the JSON objects on
+// the connections, without the headers of TCP and IP.
+type Traffic struct {
+	In  map[string]Count `json:"in"`
+	Out map[string]Count `json:"out"`
+}
+
+// Total returns the sum over all methods.
+func (t Traffic) Total() (in, out Count) {
+	return sum(t.In), sum(t.Out)
+}
+
+// sum adds the counts of all methods.
+func sum(counts map[string]Count) Count {
+	var s Count
+	for _, c := range counts {
+		s.Messages += c.Messages
+		s.Bytes += c.Bytes
+	}
+	return s
+}
+
+// meter counts the traffic of all connections of a mesh.
+type meter struct {
+	mu      sync.Mutex
+	in, out map[string]Count
+}
+
+// newMeter returns a meter at zero.
+func newMeter() *meter {
+	return &meter{in: map[string]Count{}, out: map[string]Count{}}
+}
+
+// received counts one message.
+func (m *meter) received(method string, bytes int64) { m.add(m.in, method, bytes) }
+
+// sent counts one message.
+func (m *meter) sent(method string, bytes int64) { m.add(m.out, method, bytes) }
+
+// add counts one message in one direction.
+func (m *meter) add(counts map[string]Count, method string, bytes int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := counts[method]
+	c.Messages++
+	c.Bytes += bytes
+	counts[method] = c
+}
+
+// traffic returns a copy of the counts.
+func (m *meter) traffic() Traffic {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Traffic{In: maps.Clone(m.in), Out: maps.Clone(m.out)}
+}
