--- /dev/null
+++ b/standin/call.go
@@ -0,0 +1,148 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/fake"
+)
+
+// Calls describes the requests of one calling process.
+type Calls struct {
+	// Entries are the caller addresses of the entry daemons, used in turn.
+	Entries   []string
+	Workspace string
+	// Kind is stream, whole or plain.
+	Kind string
+	// Service and Path are those of plain calls.
+	Service string
+	Path    string
+	// Count is the number of requests, Parallel how many run at once.
+	Count    int
+	Parallel int
+	// Tokens is the largest length of a model answer.
+	Tokens int
+	Seed   uint64
+	// Retry sends a request again that was refused as "not run" or met no
+	// listener, at another entry, as a load balancer and a patient caller do.
+	Retry bool
+}
+
+// Tally counts how the requests of a calling process ended.
+type Tally struct {
+	mu sync.Mutex
+	// Whole answers were complete and right, wrong ones complete and not what
+	// the request must give.
+	Whole, Wrong, Refused, Failed int
+	// Codes counts the result codes of requests that got no whole answer.
+	Codes map[wigeonladder.Code]int
+	// IDs are the request ids, in no order.
+	IDs []string
+}
+
+// String returns the tally in one line.
+func (t *Tally) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var codes []string
+	for c, n := range t.Codes {
+		codes = append(codes, fmt.Sprintf("%d:%d", int(c), n))
+	}
+	sort.Strings(codes)
+	return fmt.Sprintf("whole=%d wrong=%d refused=%d failed=%d codes=%s",
+		t.Whole, t.Wrong, t.Refused, t.Failed, strings.Join(codes, ","))
+}
+
+// add counts one reply.
+func (t *Tally) add(r fake.Reply, err error, want string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.Request != "" {
+		t.IDs = append(t.IDs, r.Request)
+	}
+	switch {
+	case err == nil && r.Complete && r.Text == want:
+		t.Whole++
+		return
+	case err == nil && r.Complete:
+		t.Wrong++
+	case r.Code != wigeonladder.CodeOK && r.Code.Fact().Outcome == wigeonladder.NotRun:
+		t.Refused++
+	default:
+		t.Failed++
+	}
+	t.Codes[r.Code]++
+}
+
+// maxRetries bounds how often a patient caller sends a request again.
+const maxRetries = 20
+
+// retryPause is the pause of a patient caller.
+const retryPause = 200 * time.Millisecond
+
+// Run sends the requests and compares every answer whole with what its request
+// must give.
+func (c Calls) Run(ctx context.Context) *Tally {
+	t := &Tally{Codes: map[wigeonladder.Code]int{}}
+	caller := fake.NewCaller(KeyOf(c.Workspace))
+	numbers := make(chan int)
+	var all sync.WaitGroup
+	for range max(1, c.Parallel) {
+		all.Go(func() {
+			for n := range numbers {
+				r, err, want := c.send(ctx, caller, n)
+				t.add(r, err, want)
+			}
+		})
+	}
+	for n := range c.Count {
+		if ctx.Err() != nil {
+			break
+		}
+		numbers <- n
+	}
+	close(numbers)
+	all.Wait()
+	return t
+}
+
+// send sends request number n, again if the caller is patient.
+func (c Calls) send(ctx context.Context, caller *fake.Caller, n int) (r fake.Reply, err error, want string) {
+	body, want := c.body(n)
+	for i := range maxRetries {
+		entry := c.Entries[(n+i)%len(c.Entries)]
+		r, err = c.once(caller, entry, body)
+		refused := r.Code != wigeonladder.CodeOK && r.Code.Fact().Outcome == wigeonladder.NotRun
+		unreached := err != nil && r.Status == 0 && strings.Contains(err.Error(), "refused")
+		if !c.Retry || !(refused || unreached) || ctx.Err() != nil {
+			return r, err, want
+		}
+		time.Sleep(retryPause)
+	}
+	return r, err, want
+}
+
+func (c Calls) once(caller *fake.Caller, entry string, body []byte) (fake.Reply, error) {
+	if c.Kind == "plain" {
+		return caller.Plain(entry, "POST", c.Service, c.Path, "", body)
+	}
+	return caller.Chat(entry, body)
+}
+
+// body returns the body of request number n and the answer it must get.
+func (c Calls) body(n int) (body []byte, want string) {
+	rng := rand.New(rand.NewPCG(c.Seed, uint64(n)))
+	if c.Kind == "plain" {
+		body = fmt.Appendf(nil, `{"order":%d,"workspace":%q}`, rng.IntN(1<<30), c.Workspace)
+		return body, string(fake.DeskAnswer("POST", c.Path, body))
+	}
+	body = fmt.Appendf(nil, `{"messages":[{"role":"user","content":"%s %d %d"}],"max_tokens":%d,"stream":%t}`,
+		c.Workspace, n, rng.Uint64(), 1+rng.IntN(max(1, c.Tokens)), c.Kind != "whole")
+	return body, fake.Answer(body)
+}
--- /dev/null
+++ b/standin/layout.go
@@ -0,0 +1,181 @@
+package standin
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/setting"
+)
+
+// Ports of a layout. Every party has an IP address of its own; the port in the
+// register is that of a relay, so that links can be cut.
+const (
+	portPeer      = 7000
+	portPeerRelay = 7100
+	portCaller    = 8000
+	portOperator  = 9000
+	portServer    = 8500
+	portRelay     = 8600
+	portPlatform  = 6000
+	portPlatRelay = 6100
+	portControl   = 6500
+)
+
+// Host numbers of a layout: daemons from 1, backend servers from 100.
+const (
+	hostServer   = 100
+	hostPlatform = 200
+)
+
+// OperatorKey is the operator key of a layout.
+const OperatorKey = "operator-key"
+
+// Plan is what one stand-in process runs.
+type Plan struct {
+	// Control is the address of the control interface.
+	Control string `json:"control"`
+	// Platform is the address of the configuration service.
+	Platform string              `json:"platform"`
+	Config   wigeonladder.Config `json:"config"`
+	Engines  []Engine            `json:"engines"`
+	Desks    []Desk              `json:"desks"`
+	Relays   []Relay             `json:"relays"`
+}
+
+// Engine is one stand-in model engine.
+type Engine struct {
+	Name   string `json:"name"`
+	Listen string `json:"listen"`
+	Slots  int    `json:"slots"`
+	// FirstToken and InterToken are the times at full speed.
+	FirstToken setting.Duration `json:"firstToken"`
+	InterToken setting.Duration `json:"interToken"`
+}
+
+// Desk is one stand-in application server.
+type Desk struct {
+	Name   string           `json:"name"`
+	Listen string           `json:"listen"`
+	Work   setting.Duration `json:"work"`
+}
+
+// Relay is one stand-in link.
+type Relay struct {
+	Name   string `json:"name"`
+	Listen string `json:"listen"`
+	Target string `json:"target"`
+}
+
+// Speeds are the times of the stand-in backend servers at full speed.
+type Speeds struct {
+	FirstToken setting.Duration
+	InterToken setting.Duration
+	Work       setting.Duration
+}
+
+// Layout is a fleet on one machine: the plan of the stand-ins and the settings
+// of each daemon.
+type Layout struct {
+	Plan     Plan
+	Settings []setting.Settings
+}
+
+// KeyOf returns the bearer key of a workspace in a layout.
+func KeyOf(workspace string) string { return workspace + "-key" }
+
+// HashOf returns the SHA-256 hash of a key in hexadecimal.
+func HashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Lay gives every party of a register an address on a loopback network, such as
+// "127.9.1", and every workspace the key of KeyOf.
+func Lay(r wigeonladder.Register, rules wigeonladder.Rules, network string, v Speeds) Layout {
+	at := func(host, port int) string { return fmt.Sprintf("%s.%d:%d", network, host, port) }
+	l := Layout{Plan: Plan{
+		Control:  at(hostPlatform, portControl),
+		Platform: at(hostPlatform, portPlatform),
+		Relays:   []Relay{{"platform", at(hostPlatform, portPlatRelay), at(hostPlatform, portPlatform)}},
+	}}
+	out := wigeonladder.Register{Zones: r.Zones}
+	for i, vm := range r.VMs {
+		vm.Peer = at(i+1, portPeerRelay)
+		vm.Caller = at(i+1, portCaller)
+		out.VMs = append(out.VMs, vm)
+		l.Plan.Relays = append(l.Plan.Relays, Relay{vm.Name, vm.Peer, at(i+1, portPeer)})
+		l.Settings = append(l.Settings, settingsOf(vm, at, i+1))
+	}
+	host := hostServer
+	for _, service := range r.Services {
+		servers := make([]wigeonladder.Server, len(service.Servers))
+		for i, s := range service.Servers {
+			real := at(host, portServer)
+			s.Address = at(host, portRelay)
+			host++
+			servers[i] = s
+			l.Plan.Relays = append(l.Plan.Relays, Relay{s.Name, s.Address, real})
+			l.Plan.add(service.Kind, s, real, v)
+		}
+		service.Servers = servers
+		out.Services = append(out.Services, service)
+	}
+	for _, w := range r.Workspaces {
+		w.Keys = []string{HashOf(KeyOf(w.Name))}
+		out.Workspaces = append(out.Workspaces, w)
+	}
+	l.Plan.Config = wigeonladder.Config{Revision: 1, Register: out, Rules: rules}
+	return l
+}
+
+// add adds the stand-in of a backend server.
+func (p *Plan) add(k wigeonladder.Kind, s wigeonladder.Server, listen string, v Speeds) {
+	if k == wigeonladder.KindModel {
+		p.Engines = append(p.Engines, Engine{s.Name, listen, s.Slots, v.FirstToken, v.InterToken})
+		return
+	}
+	p.Desks = append(p.Desks, Desk{s.Name, listen, v.Work})
+}
+
+// settingsOf returns the settings of the daemon on one entry VM.
+func settingsOf(vm wigeonladder.VM, at func(host, port int) string, host int) setting.Settings {
+	s := setting.Default()
+	s.Name = vm.Name
+	s.Zone = vm.Zone
+	s.Peer = at(host, portPeer)
+	s.Caller = at(host, portCaller)
+	s.Operator = at(host, portOperator)
+	s.Platform = at(hostPlatform, portPlatRelay)
+	s.Operators = []string{HashOf(OperatorKey)}
+	return s
+}
+
+// Write writes the plan as standin.json, the configuration as config.json and
+// the settings of each daemon under its name into a directory.
+func (l Layout) Write(dir string) error {
+	if err := writeJSON(filepath.Join(dir, "standin.json"), l.Plan); err != nil {
+		return err
+	}
+	if err := writeJSON(filepath.Join(dir, "config.json"), l.Plan.Config); err != nil {
+		return err
+	}
+	for _, s := range l.Settings {
+		if err := writeJSON(filepath.Join(dir, s.Name+".json"), s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeJSON(path string, v any) error {
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(b, '\n'), 0o644)
+}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,138 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
+
+	"github.com/wigeonladder/wigeonladder/fake"
+)
+
+// Main runs the program with its arguments and returns the exit status: 0 for
+// success, 1 for a failure, 2 for wrong usage.
+func Main(args []string, out, errout io.Writer) int {
+	p := flaggy.NewParser("standin")
+	p.Description = "stand-ins for the platform, backend servers, links and callers"
+	serve, runServe := serveCommand()
+	call, runCall := callCommand()
+	once, runOnce := onceCommand()
+	for _, s := range []*flaggy.Subcommand{serve, call, once} {
+		p.AttachSubcommand(s, 1)
+	}
+	if err := p.ParseArgs(args); err != nil {
+		fmt.Fprintln(errout, "standin:", err)
+		return 2
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var err error
+	switch {
+	case serve.Used:
+		err = runServe(ctx, out)
+	case call.Used:
+		err = runCall(ctx, out)
+	case once.Used:
+		err = runOnce(out)
+	default:
+		err = errors.New("name a command; --help lists them")
+	}
+	if err != nil {
+		fmt.Fprintln(errout, "standin:", err)
+		return 1
+	}
+	return 0
+}
+
+// serveCommand runs the stand-ins of a plan until it is told to stop.
+func serveCommand() (*flaggy.Subcommand, func(context.Context, io.Writer) error) {
+	s := flaggy.NewSubcommand("serve")
+	s.Description = "run the platform, the backend servers and the links of a plan"
+	file := ""
+	s.AddPositionalValue(&file, "plan", 1, true, "JSON plan")
+	return s, func(ctx context.Context, out io.Writer) error {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		var p Plan
+		if err := json.Unmarshal(data, &p); err != nil {
+			return errors.Wrap(err, file)
+		}
+		stand, err := Start(ctx, p)
+		if err != nil {
+			return err
+		}
+		defer stand.Close()
+		fmt.Fprintln(out, "serving")
+		<-ctx.Done()
+		return nil
+	}
+}
+
+// callCommand sends requests and prints how they ended. It fails if an answer
+// was wrong or, with --all, if any answer was not whole.
+func callCommand() (*flaggy.Subcommand, func(context.Context, io.Writer) error) {
+	s := flaggy.NewSubcommand("call")
+	s.Description = "send requests as callers of a workspace and compare every answer"
+	c := Calls{Kind: "stream", Count: 10, Parallel: 4, Tokens: 20, Seed: 1, Path: "/status"}
+	entries, all, ids := "", false, false
+	s.AddPositionalValue(&entries, "entries", 1, true, "caller addresses, separated by commas")
+	s.AddPositionalValue(&c.Workspace, "workspace", 2, true, "workspace")
+	s.String(&c.Kind, "", "kind", "stream, whole or plain")
+	s.String(&c.Service, "", "service", "service of plain calls")
+	s.String(&c.Path, "", "path", "path of plain calls")
+	s.Int(&c.Count, "n", "count", "number of requests")
+	s.Int(&c.Parallel, "p", "parallel", "requests at once")
+	s.Int(&c.Tokens, "", "tokens", "largest length of a model answer")
+	s.UInt64(&c.Seed, "", "seed", "seed of the request bodies")
+	s.Bool(&c.Retry, "", "retry", "send refused requests again at another entry")
+	s.Bool(&all, "", "all", "fail unless every answer is whole")
+	s.Bool(&ids, "", "ids", "print the request ids")
+	return s, func(ctx context.Context, out io.Writer) error {
+		c.Entries = strings.Split(entries, ",")
+		t := c.Run(ctx)
+		fmt.Fprintln(out, t)
+		if ids {
+			fmt.Fprintln(out, strings.Join(t.IDs, "\n"))
+		}
+		if t.Wrong > 0 || all && t.Whole < c.Count {
+			return errors.New("some answers were not as they must be")
+		}
+		return nil
+	}
+}
+
+// onceCommand sends one call that may not be repeated.
+func onceCommand() (*flaggy.Subcommand, func(io.Writer) error) {
+	s := flaggy.NewSubcommand("once")
+	s.Description = "get a ticket, or send a call that may not be repeated with it"
+	var entry, workspace, service, path, ticket, body string
+	s.AddPositionalValue(&entry, "entry", 1, true, "caller address")
+	s.AddPositionalValue(&workspace, "workspace", 2, true, "workspace")
+	s.AddPositionalValue(&service, "service", 3, true, "service")
+	s.AddPositionalValue(&path, "path", 4, true, "path")
+	s.String(&ticket, "", "ticket", "ticket; without it a new one is printed")
+	s.String(&body, "", "body", "body of the call")
+	return s, func(out io.Writer) error {
+		c := fake.NewCaller(KeyOf(workspace))
+		if ticket == "" {
+			t, err := c.Ticket(entry, service, "POST", path)
+			fmt.Fprintln(out, t)
+			return err
+		}
+		r, err := c.Plain(entry, "POST", service, path, ticket, []byte(body))
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "status=%d code=%d outcome=%q\n%s\n", r.Status, int(r.Code), r.Code.Fact().Outcome, r.Text)
+		return nil
+	}
+}
--- /dev/null
+++ b/standin/serve.go
@@ -0,0 +1,164 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/fake"
+)
+
+// loadLag is the age of the backend servers' load reports.
+const loadLag = 500 * time.Millisecond
+
+// Stand holds the running stand-ins of a plan.
+type Stand struct {
+	Platform *fake.Platform
+	Engines  map[string]*fake.Engine
+	Desks    map[string]*fake.Desk
+	Relays   map[string]*fake.Relay
+	control  net.Listener
+}
+
+// Start runs the stand-ins of a plan until Close.
+func Start(ctx context.Context, p Plan) (*Stand, error) {
+	s := &Stand{
+		Platform: fake.NewPlatform(),
+		Engines:  map[string]*fake.Engine{},
+		Desks:    map[string]*fake.Desk{},
+		Relays:   map[string]*fake.Relay{},
+	}
+	if err := s.start(ctx, p); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Stand) start(ctx context.Context, p Plan) error {
+	for _, e := range p.Engines {
+		ln, err := listen(ctx, e.Listen)
+		if err != nil {
+			return err
+		}
+		s.Engines[e.Name] = fake.NewEngine(fake.EngineOptions{
+			Listener:   ln,
+			Slots:      e.Slots,
+			FirstToken: time.Duration(e.FirstToken),
+			InterToken: time.Duration(e.InterToken),
+			LoadLag:    loadLag,
+		})
+	}
+	for _, d := range p.Desks {
+		ln, err := listen(ctx, d.Listen)
+		if err != nil {
+			return err
+		}
+		s.Desks[d.Name] = fake.NewDesk(fake.DeskOptions{Listener: ln, Work: time.Duration(d.Work)})
+	}
+	for _, r := range p.Relays {
+		ln, err := listen(ctx, r.Listen)
+		if err != nil {
+			return err
+		}
+		s.Relays[r.Name] = fake.NewRelay(ln, r.Target)
+	}
+	if err := s.startPlatform(ctx, p); err != nil {
+		return err
+	}
+	return s.startControl(ctx, p.Control)
+}
+
+// startPlatform publishes the configuration and the list of all VMs as live.
+func (s *Stand) startPlatform(ctx context.Context, p Plan) error {
+	doc, err := json.Marshal(p.Config)
+	if err != nil {
+		return err
+	}
+	s.Platform.Publish(doc)
+	s.Platform.SetLive(LiveOf(p.Config.Register, 1))
+	ln, err := listen(ctx, p.Platform)
+	if err != nil {
+		return err
+	}
+	go func() { _ = s.Platform.Serve(ln) }()
+	return nil
+}
+
+// LiveOf returns a list in which all VMs of a register are live, but those that
+// are named as leaving.
+func LiveOf(r wigeonladder.Register, version uint64, leaving ...string) wigeonladder.LiveList {
+	l := wigeonladder.LiveList{Version: version}
+	add := func(name string) {
+		state := wigeonladder.StateLive
+		for _, n := range leaving {
+			if n == name {
+				state = wigeonladder.StateLeaving
+			}
+		}
+		l.VMs = append(l.VMs, wigeonladder.LiveVM{Name: name, State: state})
+	}
+	for _, vm := range r.VMs {
+		add(vm.Name)
+	}
+	for _, v := range r.Services {
+		for _, s := range v.Servers {
+			add(s.Name)
+		}
+	}
+	return l
+}
+
+// startControl serves POST /cut?relay=NAME&source=IP&on=BOOL; the source "*"
+// means everyone.
+func (s *Stand) startControl(ctx context.Context, address string) error {
+	if address == "" {
+		return nil
+	}
+	ln, err := listen(ctx, address)
+	if err != nil {
+		return err
+	}
+	s.control = ln
+	h := &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true}
+	go func() { _ = h.Serve(ln) }()
+	return nil
+}
+
+func (s *Stand) handle(c *fasthttp.RequestCtx) {
+	q := c.QueryArgs()
+	r, ok := s.Relays[string(q.Peek("relay"))]
+	if !ok || string(c.Path()) != "/cut" {
+		c.Error("no such relay or path", fasthttp.StatusNotFound)
+		return
+	}
+	r.Cut(string(q.Peek("source")), q.GetBool("on"))
+}
+
+// Close ends all stand-ins.
+func (s *Stand) Close() {
+	if s.control != nil {
+		_ = s.control.Close()
+	}
+	for _, r := range s.Relays {
+		_ = r.Close()
+	}
+	for _, e := range s.Engines {
+		e.Die()
+	}
+	for _, d := range s.Desks {
+		d.Die()
+	}
+	_ = s.Platform.Close()
+}
+
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", address)
+	return ln, errors.Wrap(err, "stand-in")
+}
