--- /dev/null
+++ b/cmd/wigeonladder/script_test.go
@@ -0,0 +1,233 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"regexp"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/wigeonladder/wigeonladder/demo"
+	"github.com/wigeonladder/wigeonladder/fake"
+	"github.com/wigeonladder/wigeonladder/operator"
+	"github.com/wigeonladder/wigeonladder/setting"
+	"github.com/wigeonladder/wigeonladder/standin"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"wigeonladder": main,
+		"standin":      func() { os.Exit(standin.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+// networks numbers the loopback networks of the scenarios, so that they can run
+// at the same time.
+var networks atomic.Int32
+
+// eventDeadline bounds every wait for an event. It is generous, because the
+// machine is shared.
+const eventDeadline = 40 * time.Second
+
+// TestScenarios runs the fleet as separate processes. Each file under
+// testdata/script states one behaviour.
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(e *testscript.Env) error {
+			n := networks.Add(1)
+			e.Setenv("NET", fmt.Sprintf("127.%d.%d", 10+os.Getpid()%200, n))
+			e.Setenv("WIGEONLADDER_KEY", standin.OperatorKey)
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"lay":        lay,
+			"ready":      ready,
+			"control":    control,
+			"eventually": eventually,
+			"signal":     signalProcess,
+			"publish":    publish,
+		},
+	})
+}
+
+// lay writes the plan, the configuration and the settings of a site's fleet on
+// the scenario's network: lay guild|tlaloc.
+func lay(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: lay guild|tlaloc")
+	}
+	site := demo.Guild()
+	if args[0] == "tlaloc" {
+		site = demo.Tlaloc()
+	}
+	l := standin.Lay(site.Register, site.Rules, ts.Getenv("NET"), standin.Speeds{
+		FirstToken: setting.Duration(30 * time.Millisecond),
+		InterToken: setting.Duration(5 * time.Millisecond),
+		Work:       setting.Duration(2 * time.Millisecond),
+	})
+	for i := range l.Settings {
+		l.Settings[i].LeadTime = setting.Duration(500 * time.Millisecond)
+	}
+	ts.Check(l.Write(ts.MkAbs(".")))
+	for i, s := range l.Settings {
+		ts.Setenv(fmt.Sprintf("VM%d", i+1), s.Name)
+		ts.Setenv(fmt.Sprintf("CALLER%d", i+1), s.Caller)
+		ts.Setenv(fmt.Sprintf("OPERATOR%d", i+1), s.Operator)
+	}
+	ts.Setenv("PLATFORM", l.Plan.Platform)
+	ts.Setenv("CONTROL", l.Plan.Control)
+	for i, w := range l.Plan.Config.Register.Workspaces {
+		ts.Setenv(fmt.Sprintf("WORKSPACE%d", i+1), w.Name)
+	}
+	for i, e := range l.Plan.Engines {
+		ts.Setenv(fmt.Sprintf("ENGINE%d", i+1), e.Listen)
+		ts.Setenv(fmt.Sprintf("ENGINENAME%d", i+1), e.Name)
+	}
+	for i, d := range l.Plan.Desks {
+		ts.Setenv(fmt.Sprintf("DESK%d", i+1), d.Listen)
+	}
+}
+
+// until repeats a check until it holds or the deadline ends.
+func until(ts *testscript.TestScript, what string, check func() error) {
+	ctx, cancel := context.WithTimeout(context.Background(), eventDeadline)
+	defer cancel()
+	tick := time.NewTicker(50 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		err := check()
+		if err == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			ts.Fatalf("%s: not within %v: %v", what, eventDeadline, err)
+		case <-tick.C:
+		}
+	}
+}
+
+// ready waits until the entry daemons at the addresses want traffic.
+func ready(ts *testscript.TestScript, neg bool, args []string) {
+	c := fake.NewCaller("none")
+	for _, address := range args {
+		until(ts, "ready "+address, func() error {
+			if c.Ready(address) == neg {
+				return fmt.Errorf("ready is %t", neg)
+			}
+			return nil
+		})
+	}
+}
+
+// control sends one request to a stand-in: control METHOD URL [BODY].
+func control(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: control METHOD URL [BODY]")
+	}
+	body := ""
+	if len(args) > 2 {
+		body = args[2]
+	}
+	b, err := send(args[0], args[1], []byte(body))
+	if (err != nil) != neg {
+		ts.Fatalf("control %v: %v", args, err)
+	}
+	_, _ = ts.Stdout().Write(b)
+}
+
+// send sends one HTTP request and returns the body of a successful answer.
+func send(method, url string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), eventDeadline)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	a, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return nil, err
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	if err == nil && a.StatusCode >= 300 {
+		err = fmt.Errorf("status %d: %s", a.StatusCode, b)
+	}
+	return b, err
+}
+
+// eventually waits until the dump of a daemon matches a pattern:
+// eventually OPERATOR PATTERN. Negated, until it does not match.
+func eventually(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: eventually OPERATOR PATTERN")
+	}
+	re, err := regexp.Compile(args[1])
+	ts.Check(err)
+	c := operator.NewClient(args[0], standin.OperatorKey)
+	until(ts, "eventually "+args[1], func() error {
+		b, err := c.Dump()
+		if err != nil {
+			return err
+		}
+		var flat bytes.Buffer
+		if err := json.Compact(&flat, b); err != nil {
+			return err
+		}
+		if re.Match(flat.Bytes()) == neg {
+			return fmt.Errorf("the dump's match is %t", neg)
+		}
+		return nil
+	})
+}
+
+// signalProcess sends a signal to the background process whose arguments name a
+// settings file: signal STOP|CONT|TERM|KILL FILE.
+func signalProcess(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]syscall.Signal{
+		"STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL,
+	}
+	if len(args) != 2 {
+		ts.Fatalf("usage: signal STOP|CONT|TERM|KILL FILE")
+	}
+	for _, c := range ts.BackgroundCmds() {
+		if c.Args[len(c.Args)-1] == args[1] && c.ProcessState == nil {
+			ts.Check(c.Process.Signal(signals[args[0]]))
+			return
+		}
+	}
+	ts.Fatalf("no background process was started with %s", args[1])
+}
+
+// publish publishes config.json with a revision and optionally a list with
+// leaving VMs: publish REVISION [LEAVING...].
+func publish(ts *testscript.TestScript, _ bool, args []string) {
+	var revision uint64
+	if len(args) < 1 {
+		ts.Fatalf("usage: publish REVISION [LEAVING...]")
+	}
+	_, err := fmt.Sscan(args[0], &revision)
+	ts.Check(err)
+	c, err := setting.ParseConfig("config.json", []byte(ts.ReadFile("config.json")))
+	ts.Check(err)
+	c.Revision = revision
+	doc, err := json.Marshal(c)
+	ts.Check(err)
+	_, err = send("POST", ts.Getenv("PLATFORM")+"/control/config", doc)
+	ts.Check(err)
+	live, err := json.Marshal(standin.LiveOf(c.Register, revision, args[1:]...))
+	ts.Check(err)
+	_, err = send("POST", ts.Getenv("PLATFORM")+"/control/live", live)
+	ts.Check(err)
+}
+
