--- /dev/null
+++ b/demo/compare_test.go
@@ -0,0 +1,160 @@
+package demo
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"text/tabwriter"
+	"time"
+
+	"github.com/wigeonladder/wigeonladder/policy"
+)
+
+var (
+	seedCount = flag.Int("seeds", 0, "number of seeds of the full comparison; 0 for the short one")
+	only      = flag.String("only", "", "part of the names of the workloads of the full comparison")
+)
+
+const (
+	// queueBound is the number of requests that may wait at one daemon.
+	queueBound = 400
+	// period is the time between two exchanges of charges.
+	period = time.Second
+)
+
+var policies = []string{"alone", "split", "central", "fleet"}
+
+// result is the outcome of one run.
+type result struct {
+	policy string
+	seed   uint64
+	report Report
+}
+
+// play runs one workload under one policy on virtual time.
+func play(t *testing.T, s Site, w Workload, name string, o FleetOptions) Report {
+	t.Helper()
+	var rep Report
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		m := NewMemory(ctx, s, 1)
+		m.Use(build(ctx, m, name, o))
+		rec := NewRecorder(s.Rules)
+		Play(ctx, s, w, m, m, rec)
+		rep = rec.Report(s.Model)
+	})
+	return rep
+}
+
+func build(ctx context.Context, m *Memory, name string, o FleetOptions) policy.Policy {
+	switch name {
+	case "alone":
+		return policy.NewAlone(m.Options(queueBound))
+	case "split":
+		return policy.NewSplit(m.Options(queueBound))
+	case "central":
+		return policy.NewCentral(m.Options(queueBound))
+	}
+	o.Bound, o.Period = queueBound, period
+	return NewFleet(ctx, m, o)
+}
+
+// compare runs all policies with the same seeds, in parallel.
+func compare(t *testing.T, s Site, w Workload, seeds int) []result {
+	t.Helper()
+	var (
+		mu   sync.Mutex
+		list []result
+	)
+	t.Run(s.Name+" "+w.Name, func(t *testing.T) {
+		for _, name := range policies {
+			for seed := range uint64(seeds) {
+				t.Run(fmt.Sprintf("%s seed %d", name, seed+1), func(t *testing.T) {
+					t.Parallel()
+					rep := play(t, s, w.WithSeed(seed+1), name, FleetOptions{})
+					mu.Lock()
+					defer mu.Unlock()
+					list = append(list, result{name, seed + 1, rep})
+				})
+			}
+		}
+	})
+	slices.SortFunc(list, func(a, b result) int { return int(a.seed) - int(b.seed) })
+	return list
+}
+
+// column returns one figure of all runs of a policy.
+func column(list []result, policy string, f func(Report) float64) []float64 {
+	var out []float64
+	for _, r := range list {
+		if r.policy == policy {
+			out = append(out, f(r.report))
+		}
+	}
+	return out
+}
+
+// spread formats mean, lowest and highest.
+func spread(list []float64) string {
+	if len(list) == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.3g (%.3g-%.3g)", mean(list), slices.Min(list), slices.Max(list))
+}
+
+func mean(list []float64) float64 {
+	sum := 0.0
+	for _, x := range list {
+		sum += x
+	}
+	return sum / float64(len(list))
+}
+
+// table prints the policies side by side: mean, lowest and highest over seeds.
+func table(s Site, w Workload, list []result) {
+	out := &strings.Builder{}
+	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(tw, "\n%s: %s\tbacklogged\tgap\tlast/first T\tutilisation\tbusy\tretained\tserved\trefused\tfailed\tworst wait s\n", s.Name, w.Name)
+	for _, name := range policies {
+		get := func(f func(Report) float64) string { return spread(column(list, name, f)) }
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", name,
+			get(func(r Report) float64 { return float64(r.Backlogged) }),
+			get(func(r Report) float64 { return r.Gap }),
+			get(func(r Report) float64 { return r.GapLast / r.GapUnit }),
+			get(func(r Report) float64 { return r.Rate / s.Capacity() }),
+			get(func(r Report) float64 { return r.Busy }),
+			get(func(r Report) float64 { return r.Retained }),
+			get(func(r Report) float64 { return float64(r.Served) }),
+			get(func(r Report) float64 { return float64(r.Refused) }),
+			get(func(r Report) float64 { return float64(r.Failed) }),
+			get(func(r Report) float64 { return r.WorstWait.Seconds() }))
+	}
+	tw.Flush()
+	os.Stdout.WriteString(out.String())
+}
+
+// TestPolicies prints the policies side by side:
+//
+//	go test ./demo -run TestPolicies -v -args -seeds 5
+func TestPolicies(t *testing.T) {
+	if *seedCount == 0 {
+		t.Skip("the full comparison runs with -args -seeds N")
+	}
+	for _, s := range []Site{Guild(), Tlaloc()} {
+		for _, w := range s.Workloads() {
+			if !strings.Contains(s.Name+" "+w.Name, *only) {
+				continue
+			}
+			table(s, w, compare(t, s, w, *seedCount))
+		}
+	}
+}
+
