--- a/cmd/wigeonladder/check.go
+++ b/cmd/wigeonladder/check.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/wigeonladder/wigeonladder"
 	"github.com/wigeonladder/wigeonladder/setting"
 )
 
@@ -15,15 +16,12 @@
 // with its place.
 func newCheck() command {
 	s := newSubcommand("check", "validate settings, configuration, register or rules and list every error")
-	kind, file := "", ""
+	kind, file, register := "", "", ""
 	s.AddPositionalValue(&kind, "kind", 1, true, "settings, config, register or rules")
 	s.AddPositionalValue(&file, "file", 2, true, "JSON file")
+	s.String(&register, "r", "register", "register that rules refer to; needed for rules")
 	return command{sub: s, run: func(_ context.Context, out io.Writer) error {
-		data, err := os.ReadFile(file)
-		if err != nil {
-			return err
-		}
-		if err := check(kind, file, data); err != nil {
+		if err := check(kind, file, register); err != nil {
 			return err
 		}
 		fmt.Fprintf(out, "%s: valid %s\n", file, kind)
@@ -31,9 +29,12 @@
 	}}
 }
 
-// check validates the data of one file.
-func check(kind, file string, data []byte) error {
-	var err error
+// check validates one file.
+func check(kind, file, register string) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
 	switch kind {
 	case "settings":
 		_, err = setting.ParseSettings(file, data)
@@ -42,9 +43,34 @@
 	case "register":
 		_, err = setting.ParseRegister(file, data)
 	case "rules":
-		_, err = setting.ParseRules(file, data)
+		err = checkRules(file, data, register)
 	default:
 		err = errors.Errorf("kind %q is not one of settings, config, register, rules", kind)
 	}
 	return err
 }
+
+// checkRules validates rules against the register that they refer to. The
+// errors of both files are reported together.
+func checkRules(file string, data []byte, register string) error {
+	if register == "" {
+		return errors.New("rules refer to a register: name it with --register")
+	}
+	inventory, err := os.ReadFile(register)
+	if err != nil {
+		return err
+	}
+	r, registerErr := setting.ParseRegister(register, inventory)
+	_, err = setting.ParseRules(file, data, r)
+	if registerErr == nil {
+		return err
+	}
+	var all wigeonladder.Errors
+	for _, e := range []error{registerErr, err} {
+		var l wigeonladder.Errors
+		if errors.As(e, &l) {
+			all = append(all, l...)
+		}
+	}
+	return all.ErrorOrNil()
+}
--- a/fake/pool.go
+++ b/fake/pool.go
@@ -97,7 +97,7 @@
 	if err := s.Start(200, a.Request.ContentType); err != nil {
 		return wigeonladder.Usage{Failed: true}, err
 	}
-	r := run{pool: p, engine: e, sink: s, total: 1, began: time.Now()}
+	r := session{pool: p, engine: e, sink: s, total: 1, began: time.Now()}
 	if e.kind == wigeonladder.KindModel {
 		r.total = MaxTokens(a.Request.Body) - a.From
 	}
@@ -131,7 +131,7 @@
 }
 
 // run is one request in an engine.
-type run struct {
+type session struct {
 	pool   *Pool
 	engine *engine
 	sink   wigeonladder.Sink
@@ -143,7 +143,7 @@
 }
 
 // toEnd generates all tokens.
-func (r *run) toEnd(ctx context.Context) error {
+func (r *session) toEnd(ctx context.Context) error {
 	d := PoolFirstToken
 	if r.engine.kind != wigeonladder.KindModel {
 		d = PoolCallTime
@@ -176,7 +176,7 @@
 }
 
 // emit hands on new tokens.
-func (r *run) emit(tokens int64) error {
+func (r *session) emit(tokens int64) error {
 	if tokens == 0 {
 		return nil
 	}
@@ -184,7 +184,7 @@
 	return r.sink.Write(nil, tokens)
 }
 
-func (r *run) wait(ctx context.Context, d time.Duration) error {
+func (r *session) wait(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -195,7 +195,7 @@
 	}
 }
 
-func (r *run) usage(err error) wigeonladder.Usage {
+func (r *session) usage(err error) wigeonladder.Usage {
 	u := wigeonladder.Usage{Cost: r.done, Failed: err != nil}
 	if r.done > 0 {
 		u.FirstToken = r.first.Sub(r.began)
