--- a/backend/client.go
+++ b/backend/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"strconv"
 	"time"
 
@@ -39,6 +40,9 @@
 	// Kind returns the kind of a service. Without it, requests to ChatPath
 	// count as requests to a model.
 	Kind func(service string) wigeonladder.Kind
+	// Local is the IP address to call from; empty for any. Links between zones
+	// can then be told apart by who uses them.
+	Local string
 	// Connect bounds the opening of a connection; 1 s by default.
 	Connect time.Duration
 	// FirstByte bounds the time to the first token of a stream and to the
@@ -93,7 +97,15 @@
 // NewClient returns a client. It starts no goroutines.
 func NewClient(o Options) *Client {
 	o = o.withDefaults()
-	return &Client{options: o, pool: newPool(o.Connect, o.IdleConn, o.MaxIdle)}
+	return &Client{options: o, pool: newPool(net.Dialer{Timeout: o.Connect, LocalAddr: localAddr(o.Local)}, o.IdleConn, o.MaxIdle)}
+}
+
+// localAddr returns the address to call from, nil for any.
+func localAddr(ip string) net.Addr {
+	if a := net.ParseIP(ip); a != nil && !a.IsUnspecified() {
+		return &net.TCPAddr{IP: a}
+	}
+	return nil
 }
 
 // Close closes the idle connections.
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -26,9 +26,9 @@
 
 // pool keeps idle connections per address.
 type pool struct {
-	connect time.Duration
-	keep    time.Duration
-	most    int
+	dialer net.Dialer
+	keep   time.Duration
+	most   int
 
 	mu     sync.Mutex
 	idle   map[string][]*link
@@ -37,8 +37,8 @@
 }
 
 // newPool returns an empty pool.
-func newPool(connect, keep time.Duration, most int) *pool {
-	return &pool{connect: connect, keep: keep, most: most, idle: map[string][]*link{}, swept: time.Now()}
+func newPool(d net.Dialer, keep time.Duration, most int) *pool {
+	return &pool{dialer: d, keep: keep, most: most, idle: map[string][]*link{}, swept: time.Now()}
 }
 
 // take returns an idle connection that the server has not closed, or a new one.
@@ -53,8 +53,7 @@
 		}
 		_ = l.Close()
 	}
-	d := net.Dialer{Timeout: p.connect}
-	c, err := d.DialContext(ctx, "tcp", address)
+	c, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/wigeonladder/script_test.go
+++ b/cmd/wigeonladder/script_test.go
@@ -122,7 +122,7 @@
 	c := fake.NewCaller("none")
 	for _, address := range args {
 		until(ts, "ready "+address, func() error {
-			if c.Ready(address) == neg {
+			if c.Ready(context.Background(), address) == neg {
 				return fmt.Errorf("ready is %t", neg)
 			}
 			return nil
@@ -230,4 +230,3 @@
 	_, err = send("POST", ts.Getenv("PLATFORM")+"/control/live", live)
 	ts.Check(err)
 }
-
--- a/cmd/wigeonladder/serve.go
+++ b/cmd/wigeonladder/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"os"
 
@@ -50,3 +51,13 @@
 	<-d.Done()
 	return nil
 }
+
+// printDefaults prints settings with every default visible.
+func printDefaults(out io.Writer) error {
+	b, err := json.MarshalIndent(setting.Default(), "", "  ")
+	if err != nil {
+		return err
+	}
+	_, err = out.Write(append(b, '\n'))
+	return err
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -129,7 +129,7 @@
 		Seeds:       d.settings.Links,
 		Journal:     d.journal,
 	})
-	d.backend = backend.NewClient(backend.Options{Kind: d.kind})
+	d.backend = backend.NewClient(backend.Options{Kind: d.kind, Local: hostOf(d.settings.Peer)})
 	d.buildRoles(ctx)
 	if placer == nil {
 		placer = d.queue
@@ -281,12 +281,20 @@
 // dialFrom returns a dialler that calls from the IP address of the daemon, so
 // that peers recognize it by its address in the register.
 func dialFrom(address string) func(context.Context, string) (net.Conn, error) {
-	host, _, _ := net.SplitHostPort(address)
 	var d net.Dialer
-	if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
+	if ip := net.ParseIP(hostOf(address)); ip != nil && !ip.IsUnspecified() {
 		d.LocalAddr = &net.TCPAddr{IP: ip}
 	}
 	return func(ctx context.Context, to string) (net.Conn, error) {
 		return d.DialContext(ctx, "tcp", to)
 	}
 }
+
+// hostOf returns the IP address of an address with a port.
+func hostOf(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return ""
+	}
+	return host
+}
--- a/demo/compare_test.go
+++ b/demo/compare_test.go
@@ -157,4 +157,3 @@
 		}
 	}
 }
-
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -36,12 +36,12 @@
 	o      FleetOptions
 
 	mu      sync.Mutex
-	daemons map[string]*daemon
+	daemons map[string]*part
 	runs    int
 }
 
-// daemon is one run of the parts of a daemon.
-type daemon struct {
+// part is one run of the decision parts of a daemon.
+type part struct {
 	vm       wigeonladder.VM
 	node     *fake.Node
 	counters *fair.Counters
@@ -57,7 +57,7 @@
 // NewFleet returns a fleet for the daemons of a site that ends with the
 // context.
 func NewFleet(ctx context.Context, m *Memory, o FleetOptions) *Fleet {
-	f := &Fleet{ctx: ctx, memory: m, links: fake.NewLinks(m.site.Delay), o: o, daemons: map[string]*daemon{}}
+	f := &Fleet{ctx: ctx, memory: m, links: fake.NewLinks(m.site.Delay), o: o, daemons: map[string]*part{}}
 	for _, v := range m.site.Register.VMs {
 		f.links.Add(v)
 	}
@@ -96,7 +96,7 @@
 	f.runs++
 	incarnation := fmt.Sprintf("%s-%d", v.Name, f.runs)
 	f.mu.Unlock()
-	d := &daemon{vm: v, node: f.links.Add(v), cancel: cancel, limits: map[string]wigeonladder.Limiter{}}
+	d := &part{vm: v, node: f.links.Add(v), cancel: cancel, limits: map[string]wigeonladder.Limiter{}}
 	site := f.memory.site
 	config := func() wigeonladder.Config {
 		return wigeonladder.Config{Revision: 1, Register: site.Register, Rules: site.Rules}
@@ -134,7 +134,7 @@
 }
 
 // limit returns the limit of a server that the daemon became the home of.
-func (d *daemon) limit(s wigeonladder.Server) wigeonladder.Limiter {
+func (d *part) limit(s wigeonladder.Server) wigeonladder.Limiter {
 	l := limit.New(s.Slots, s.MaxSlots)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -144,7 +144,7 @@
 
 // count sums the slots that the daemon grants. It is done once per exchange:
 // the counters ask for it at every charge.
-func (d *daemon) count(s Site) {
+func (d *part) count(s Site) {
 	sum := 0
 	for _, v := range s.Register.Services {
 		for _, x := range v.Servers {
@@ -161,7 +161,7 @@
 
 // exchange sends the charges of a home to all others that it reaches when they
 // arrive.
-func (f *Fleet) exchange(ctx context.Context, d *daemon) {
+func (f *Fleet) exchange(ctx context.Context, d *part) {
 	m := d.counters.Export()
 	f.mu.Lock()
 	others := make([]string, 0, len(f.daemons))
--- a/demo/measure.go
+++ b/demo/measure.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"context"
 	"errors"
 	"sync"
 	"time"
@@ -199,7 +200,8 @@
 	t.start(time.Now())
 	var e *wigeonladder.Error
 	switch {
-	case !t.counts:
+	case !t.counts, errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		// The run ended before the request.
 	case err == nil:
 		t.book.served++
 	case errors.As(err, &e) && e.Code.Fact().Outcome == wigeonladder.NotRun:
--- a/demo/report.go
+++ b/demo/report.go
@@ -47,22 +47,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rep := Report{Service: service}
-	w := window{recorder: r, service: service, books: map[string]*book{}}
-	w.first = int(r.workload.Warm/samplePeriod) - 1
-	w.unit = int(r.workload.Unit / samplePeriod)
-	for k, b := range r.books {
-		if k.service == service {
-			w.books[k.workspace] = b
-			rep.Served += b.served
-			rep.Refused += b.refused
-			rep.Failed += b.failed
-			rep.WorstWait = max(rep.WorstWait, b.worst)
-		}
+	w := r.window(service)
+	for _, b := range w.books {
+		rep.Served += b.served
+		rep.Refused += b.refused
+		rep.Failed += b.failed
+		rep.WorstWait = max(rep.WorstWait, b.worst)
 	}
 	if r.workload.Scale != 0 {
 		rep.WorstWait = time.Duration(float64(rep.WorstWait) * r.workload.Scale)
 	}
-	w.last = min(w.first+4*w.unit, r.samples-1)
 	names := w.backlogged()
 	rep.Backlogged = len(names)
 	rep.Gap = w.gap(names, w.first, w.last)
@@ -83,6 +77,21 @@
 	first, last, unit int
 }
 
+// window returns the measured part of the samples of a service. The caller
+// holds the lock.
+func (r *Recorder) window(service string) window {
+	w := window{recorder: r, service: service, books: map[string]*book{}}
+	w.first = int(r.workload.Warm/samplePeriod) - 1
+	w.unit = int(r.workload.Unit / samplePeriod)
+	w.last = min(w.first+4*w.unit, r.samples-1)
+	for k, b := range r.books {
+		if k.service == service {
+			w.books[k.workspace] = b
+		}
+	}
+	return w
+}
+
 // backlogged returns the workspaces that had waiting work in every sample.
 func (w window) backlogged() []string {
 	var names []string
@@ -142,8 +151,8 @@
 	return float64(b.rows[w.last].received - b.rows[w.first].received)
 }
 
-// retained returns the lowest part of a fair share.
-func (w window) retained() (float64, string) {
+// fairShares divides the received service by weighted max-min fairness.
+func (w window) fairShares() map[string]float64 {
 	total := 0.0
 	var claims []Claim
 	for name, b := range w.books {
@@ -154,7 +163,12 @@
 		}
 		claims = append(claims, c)
 	}
-	shares := FairShares(total, claims)
+	return FairShares(total, claims)
+}
+
+// retained returns the lowest part of a fair share.
+func (w window) retained() (float64, string) {
+	shares := w.fairShares()
 	lowest, by := math.Inf(1), ""
 	for name, b := range w.books {
 		if shares[name] <= 0 || slices.Contains(w.recorder.workload.Flooders, name) {
--- a/fake/caller.go
+++ b/fake/caller.go
@@ -3,23 +3,24 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/wigeonladder/wigeonladder"
 )
 
 // Caller is a stand-in for the callers of one workspace. It sends each request
-// once and never retries by itself.
+// once and never retries by itself. It uses net/http, because a caller that
+// goes away in the middle of a request needs a client with contexts.
 type Caller struct {
 	key    string
-	client *fasthttp.Client
+	client *http.Client
 }
 
 // Reply is what a caller got for one request.
@@ -42,24 +43,29 @@
 	RetryAfter int
 }
 
-// callerTimeout bounds the silence on a caller's connection.
-const callerTimeout = 120 * time.Second
+const (
+	// callerTimeout bounds the wait for the header of an answer.
+	callerTimeout = 120 * time.Second
+	// callerIdle is the number of idle connections kept for each entry daemon.
+	callerIdle = 256
+)
 
 // NewCaller returns a caller with a bearer key.
 func NewCaller(key string) *Caller {
-	return &Caller{key: key, client: &fasthttp.Client{
-		StreamResponseBody:        true,
-		MaxConnsPerHost:           1 << 16,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		ReadTimeout:               callerTimeout,
-		NoDefaultUserAgentHeader:  true,
+	return &Caller{key: key, client: &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: callerIdle, ResponseHeaderTimeout: callerTimeout},
 	}}
 }
 
 // Chat sends a chat request to an entry daemon.
-func (c *Caller) Chat(entry string, body []byte) (Reply, error) {
-	r, err := c.do(entry, "POST", "/v1/chat/completions", "", body)
+func (c *Caller) Chat(ctx context.Context, entry string, body []byte) (Reply, error) {
+	return c.ChatEach(ctx, entry, body, 0, nil)
+}
+
+// ChatEach sends a chat request with a hint of its cost in tokens, 0 for none,
+// and calls each for every token as it comes.
+func (c *Caller) ChatEach(ctx context.Context, entry string, body []byte, hint int64, each func()) (Reply, error) {
+	r, err := c.do(ctx, entry, "POST", "/v1/chat/completions", "", body, hint, each)
 	if err == nil && r.Complete && r.Tokens == 0 {
 		r.Text = wholeText(r.Text)
 	}
@@ -83,17 +89,17 @@
 
 // Plain sends a call to a plain service. The ticket is empty for calls that may
 // be repeated.
-func (c *Caller) Plain(entry, method, service, path, ticket string, body []byte) (Reply, error) {
-	return c.do(entry, method, "/s/"+service+path, ticket, body)
+func (c *Caller) Plain(ctx context.Context, entry, method, service, path, ticket string, body []byte) (Reply, error) {
+	return c.do(ctx, entry, method, "/s/"+service+path, ticket, body, 0, nil)
 }
 
 // Ticket gets a ticket for one call of a plain service.
-func (c *Caller) Ticket(entry, service, method, path string) (string, error) {
+func (c *Caller) Ticket(ctx context.Context, entry, service, method, path string) (string, error) {
 	body, err := json.Marshal(map[string]string{"service": service, "method": method, "path": path})
 	if err != nil {
 		return "", err
 	}
-	r, err := c.do(entry, "POST", "/v1/tickets", "", body)
+	r, err := c.do(ctx, entry, "POST", "/v1/tickets", "", body, 0, nil)
 	if err != nil {
 		return "", err
 	}
@@ -107,52 +113,54 @@
 }
 
 // Ready reports whether the entry daemon wants traffic from the load balancer.
-func (c *Caller) Ready(entry string) bool {
-	r, err := c.do(entry, "GET", "/ready", "", nil)
-	return err == nil && r.Status == fasthttp.StatusOK
+func (c *Caller) Ready(ctx context.Context, entry string) bool {
+	r, err := c.do(ctx, entry, "GET", "/ready", "", nil, 0, nil)
+	return err == nil && r.Status == http.StatusOK
 }
 
 // do sends one request and reads the whole reply.
-func (c *Caller) do(entry, method, path, ticket string, body []byte) (Reply, error) {
-	q, a := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(q)
-	defer fasthttp.ReleaseResponse(a)
-	q.Header.SetMethod(method)
-	q.SetRequestURI("http://" + entry + path)
+func (c *Caller) do(ctx context.Context, entry, method, path, ticket string, body []byte, hint int64, each func()) (Reply, error) {
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+entry+path, bytes.NewReader(body))
+	if err != nil {
+		return Reply{}, err
+	}
+	// Without this, net/http sends a request again when a kept connection
+	// fails.
+	q.GetBody = nil
 	q.Header.Set("Authorization", "Bearer "+c.key)
 	if ticket != "" {
 		q.Header.Set("X-Ticket", ticket)
 	}
-	q.SetBody(body)
+	if hint > 0 {
+		q.Header.Set("X-Cost-Hint", strconv.FormatInt(hint, 10))
+	}
 	start := time.Now()
-	if err := c.client.Do(q, a); err != nil {
+	a, err := c.client.Do(q)
+	if err != nil {
 		return Reply{Total: time.Since(start)}, err
 	}
-	defer func() { _ = a.CloseBodyStream() }()
-	r := Reply{Status: a.StatusCode(), Request: string(a.Header.Peek("X-Request-Id"))}
-	r.RetryAfter, _ = strconv.Atoi(string(a.Header.Peek("Retry-After")))
-	if n, err := strconv.Atoi(string(a.Header.Peek("X-Result-Code"))); err == nil {
+	defer a.Body.Close()
+	r := Reply{Status: a.StatusCode, Request: a.Header.Get("X-Request-Id")}
+	r.RetryAfter, _ = strconv.Atoi(a.Header.Get("Retry-After"))
+	if n, err := strconv.Atoi(a.Header.Get("X-Result-Code")); err == nil {
 		r.Code = wigeonladder.Code(n)
 	}
-	var err error
-	if strings.HasPrefix(string(a.Header.ContentType()), "text/event-stream") {
-		err = r.readStream(a.BodyStream(), start)
+	if strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") {
+		err = r.readStream(a.Body, start, each)
 	} else {
-		err = r.readWhole(a, start)
+		err = r.readWhole(a.Body, start)
 	}
 	r.Total = time.Since(start)
 	return r, err
 }
 
-// readWhole reads an answer that is not a stream.
-func (r *Reply) readWhole(a *fasthttp.Response, start time.Time) error {
-	b, err := io.ReadAll(a.BodyStream())
+// readWhole reads an answer that is not a stream. net/http reports a body that
+// is shorter than announced.
+func (r *Reply) readWhole(body io.Reader, start time.Time) error {
+	b, err := io.ReadAll(body)
 	r.First = time.Since(start)
 	r.Text = string(b)
-	if n := a.Header.ContentLength(); err == nil && n >= 0 && n != len(b) {
-		err = io.ErrUnexpectedEOF
-	}
-	r.Complete = err == nil && r.Status == fasthttp.StatusOK
+	r.Complete = err == nil && r.Status == http.StatusOK
 	return err
 }
 
@@ -168,7 +176,7 @@
 
 // readStream reads server-sent events to the end mark, an error event or the
 // end of the connection.
-func (r *Reply) readStream(stream io.Reader, start time.Time) error {
+func (r *Reply) readStream(stream io.Reader, start time.Time, each func()) error {
 	var text strings.Builder
 	defer func() { r.Text = text.String() }()
 	lines := bufio.NewScanner(stream)
@@ -201,6 +209,9 @@
 				r.First = time.Since(start)
 			}
 			r.Tokens++
+			if each != nil {
+				each()
+			}
 			text.WriteString(choice.Delta.Content)
 		}
 	}
--- a/standin/call.go
+++ b/standin/call.go
@@ -117,7 +117,7 @@
 	body, want := c.body(n)
 	for i := range maxRetries {
 		entry := c.Entries[(n+i)%len(c.Entries)]
-		r, err = c.once(caller, entry, body)
+		r, err = c.once(ctx, caller, entry, body)
 		refused := r.Code != wigeonladder.CodeOK && r.Code.Fact().Outcome == wigeonladder.NotRun
 		unreached := err != nil && r.Status == 0 && strings.Contains(err.Error(), "refused")
 		if !c.Retry || !(refused || unreached) || ctx.Err() != nil {
@@ -128,11 +128,11 @@
 	return r, err, want
 }
 
-func (c Calls) once(caller *fake.Caller, entry string, body []byte) (fake.Reply, error) {
+func (c Calls) once(ctx context.Context, caller *fake.Caller, entry string, body []byte) (fake.Reply, error) {
 	if c.Kind == "plain" {
-		return caller.Plain(entry, "POST", c.Service, c.Path, "", body)
+		return caller.Plain(ctx, entry, "POST", c.Service, c.Path, "", body)
 	}
-	return caller.Chat(entry, body)
+	return caller.Chat(ctx, entry, body)
 }
 
 // body returns the body of request number n and the answer it must get.
--- a/standin/main.go
+++ b/standin/main.go
@@ -40,7 +40,7 @@
 	case call.Used:
 		err = runCall(ctx, out)
 	case once.Used:
-		err = runOnce(out)
+		err = runOnce(ctx, out)
 	default:
 		err = errors.New("name a command; --help lists them")
 	}
@@ -111,7 +111,7 @@
 }
 
 // onceCommand sends one call that may not be repeated.
-func onceCommand() (*flaggy.Subcommand, func(io.Writer) error) {
+func onceCommand() (*flaggy.Subcommand, func(context.Context, io.Writer) error) {
 	s := flaggy.NewSubcommand("once")
 	s.Description = "get a ticket, or send a call that may not be repeated with it"
 	var entry, workspace, service, path, ticket, body string
@@ -121,14 +121,14 @@
 	s.AddPositionalValue(&path, "path", 4, true, "path")
 	s.String(&ticket, "", "ticket", "ticket; without it a new one is printed")
 	s.String(&body, "", "body", "body of the call")
-	return s, func(out io.Writer) error {
+	return s, func(ctx context.Context, out io.Writer) error {
 		c := fake.NewCaller(KeyOf(workspace))
 		if ticket == "" {
-			t, err := c.Ticket(entry, service, "POST", path)
+			t, err := c.Ticket(ctx, entry, service, "POST", path)
 			fmt.Fprintln(out, t)
 			return err
 		}
-		r, err := c.Plain(entry, "POST", service, path, ticket, []byte(body))
+		r, err := c.Plain(ctx, entry, "POST", service, path, ticket, []byte(body))
 		if err != nil {
 			return err
 		}
