--- a/demo/result.go
+++ b/demo/result.go
@@ -44,6 +44,8 @@
 	Utilisation *float64 `json:"utilisation,omitempty"`
 	// Control is the control traffic sent, in bytes per second per daemon.
 	Control float64 `json:"control"`
+	// ControlBy is the same by message.
+	ControlBy map[string]float64 `json:"control_by"`
 	// Kept is the lowest share of its own service that a workspace keeps which
 	// does not flood. It is measured in floods.
 	Kept *float64 `json:"kept,omitempty"`
@@ -96,7 +98,15 @@
 	if ctx.Err() != nil {
 		return Result{}, errors.New("the trial was stopped")
 	}
-	return t.result(rig, site, w, rec, float64(rig.sent()-before)/seconds), nil
+	res := t.result(rig, site, w, rec)
+	daemons := float64(len(site.Register.VMs))
+	res.ControlBy = map[string]float64{}
+	for method, bytes := range rig.sent() {
+		rate := float64(bytes-before[method]) / seconds / daemons
+		res.ControlBy[method] = rate
+		res.Control += rate
+	}
+	return res, nil
 }
 
 // plan returns the site and the workload of the trial.
@@ -126,12 +136,13 @@
 	return site, w, nil
 }
 
-// sent returns the bytes that all daemons sent to each other.
-func (r *Rig) sent() int64 {
-	var sum int64
+// sent returns the bytes that all daemons sent to each other, by message.
+func (r *Rig) sent() map[string]int64 {
+	sum := map[string]int64{}
 	for _, d := range r.running() {
-		_, out := d.Traffic().Total()
-		sum += out.Bytes
+		for method, c := range d.Traffic().Out {
+			sum[method] += c.Bytes
+		}
 	}
 	return sum
 }
@@ -203,7 +214,7 @@
 }
 
 // result gathers the measures of a run.
-func (t Trial) result(r *Rig, s Site, w Workload, rec *Recorder, sent float64) Result {
+func (t Trial) result(r *Rig, s Site, w Workload, rec *Recorder) Result {
 	model, plain := rec.Report(s.Model), rec.Report(s.Plain)
 	res := Result{
 		Policy:   t.Policy,
@@ -212,7 +223,6 @@
 		Served:   model.Served + plain.Served,
 		Refused:  model.Refused + plain.Refused,
 		Failed:   model.Failed + plain.Failed,
-		Control:  sent / float64(len(s.Register.VMs)),
 		Doubled:  r.doubled(),
 		Crossed:  r.crossedCount(),
 		Accounts: rec.Accounts(s.Model),
