fake: break streams behind their last token

The stream writer handed events to a pipe, so a break could come before the events had been sent: TestBadAnswersEndInCodes/broken_stream got 502 in 1 of 2 runs.

--- a/fake/engine.go
+++ b/fake/engine.go
@@ -1,11 +1,11 @@
 package fake
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"sync"
@@ -290,45 +290,69 @@
 	}
 	c.SetContentType("text/event-stream")
 	ctx, cancel := e.watch(c)
-	n := c.Conn()
 	e.change(1)
 	c.Response.ImmediateHeaderFlush = true
-	c.SetBodyStreamWriter(func(w *bufio.Writer) {
-		defer cancel()
-		defer e.change(-1)
-		if e.events(ctx, w, r) != nil {
-			_ = n.Close()
-		}
-	})
+	c.SetBodyStream(&events{engine: e, run: r, ctx: ctx, cancel: cancel, next: r.from}, -1)
 }
 
-// events writes the events of a stream. An error breaks the connection.
-func (e *Engine) events(ctx context.Context, w *bufio.Writer, r *run) error {
-	for i := r.from; i < r.total; i++ {
-		if err := e.step(ctx, r, i); err != nil {
-			return err
-		}
-		if r.faults.BreakAfter > 0 && i >= r.faults.BreakAfter {
-			return ErrCut
-		}
-		if r.faults.Truncate && i >= (r.total+1)/2 {
-			return nil
-		}
-		if r.faults.Lose == i+1 {
-			continue
-		}
-		if err := send(w, "data: {\"id\":%q,\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", r.id, token(r.seed, i)); err != nil {
-			return err
+// events is the body of a stream. fasthttp sends what one Read returns before
+// the next Read, so a broken stream has sent all events before the break.
+type events struct {
+	engine *Engine
+	run    *run
+	ctx    context.Context
+	cancel context.CancelFunc
+	// next is the number of the next token.
+	next  int
+	ended bool
+	left  []byte
+}
+
+// Read implements io.Reader. An error other than io.EOF breaks the connection.
+func (v *events) Read(b []byte) (int, error) {
+	if len(v.left) == 0 {
+		if err := v.fill(); err != nil {
+			return 0, err
 		}
 	}
-	return send(w, "data: {\"id\":%q,\"choices\":[],\"usage\":{\"prompt_tokens\":%d,\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n",
-		r.id, len(r.body)/4, r.total)
+	n := copy(b, v.left)
+	v.left = v.left[n:]
+	return n, nil
 }
 
-// send writes and flushes.
-func send(w *bufio.Writer, format string, args ...any) error {
-	if _, err := fmt.Fprintf(w, format, args...); err != nil {
+// Close implements io.Closer.
+func (v *events) Close() error {
+	v.cancel()
+	v.engine.change(-1)
+	return nil
+}
+
+// fill prepares the next event.
+func (v *events) fill() error {
+	r := v.run
+	if v.ended {
+		return io.EOF
+	}
+	i := v.next
+	if i >= r.total {
+		v.ended = true
+		v.left = fmt.Appendf(nil, "data: {\"id\":%q,\"choices\":[],\"usage\":{\"prompt_tokens\":%d,\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n",
+			r.id, len(r.body)/4, r.total)
+		return nil
+	}
+	if err := v.engine.step(v.ctx, r, i); err != nil {
 		return err
 	}
-	return w.Flush()
+	if r.faults.BreakAfter > 0 && i >= r.faults.BreakAfter {
+		return ErrCut
+	}
+	if r.faults.Truncate && i >= (r.total+1)/2 {
+		return io.EOF
+	}
+	v.next++
+	if r.faults.Lose == v.next {
+		return v.fill()
+	}
+	v.left = fmt.Appendf(nil, "data: {\"id\":%q,\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", r.id, token(r.seed, i))
+	return nil
 }
