backend: tests, and no closing count of an incomplete stream

The closing usage event of a stream that lost a token was handed on before the count was compared; it is now compared first. The size limit of an event no longer depends on how the network splits it.

--- a/backend/event.go
+++ b/backend/event.go
@@ -37,12 +37,13 @@
 // call. The error is io.EOF only between two events.
 func (e *eventReader) next() ([]byte, error) {
 	for {
-		if event, ok := e.split(); ok {
-			return event, nil
-		}
-		if len(e.buf)-e.start > e.most {
+		event, ok := e.split()
+		if len(event) > e.most || !ok && len(e.buf)-e.start > e.most {
 			return nil, errEventTooLong
 		}
+		if ok {
+			return event, nil
+		}
 		if e.err != nil {
 			return nil, e.ended()
 		}
@@ -193,6 +194,10 @@
 	}
 	n := k.tokens()
 	c.tokens += n
+	if c.total >= 0 && len(k.Choices) == 0 {
+		// The closing count of an incomplete stream is not handed on.
+		return 0, c.check()
+	}
 	return n, nil
 }
 
