caller: cut off open requests at the end of the context

A context that ended while Shutdown waited had no effect, because fasthttp's shutdown holds its lock. The body is taken over instead of copied.

--- a/caller/parse.go
+++ b/caller/parse.go
@@ -41,7 +41,8 @@
 )
 
 // parse turns an HTTP request into a request of its workspace. For a ticket
-// request it is the call that the ticket is for.
+// request it is the call that the ticket is for. The body is taken over from
+// fasthttp, which would otherwise keep a second copy until the answer ends.
 func (s *Server) parse(c *fasthttp.RequestCtx, id, path string) (wigeonladder.Request, error) {
 	r := wigeonladder.Request{ID: id, Arrived: time.Now()}
 	x := s.current()
@@ -54,16 +55,15 @@
 	}
 	switch {
 	case path == chatPath && c.IsPost():
-		return x.parseChat(r, string(c.Request.Header.Peek(headerService)), bytes.Clone(c.PostBody()))
+		return x.parseChat(r, string(c.Request.Header.Peek(headerService)), c.Request.SwapBody(nil))
 	case path == ticketsPath && c.IsPost():
 		return x.parseTicket(r, c.PostBody())
 	case strings.HasPrefix(path, plainPrefix):
 		r.Method = string(c.Method())
 		r.ContentType = string(c.Request.Header.ContentType())
-		r.Body = bytes.Clone(c.PostBody())
+		r.Body = c.Request.SwapBody(nil)
 		r.Ticket = string(c.Request.Header.Peek(headerTicket))
-		service, rest, _ := strings.Cut(path[len(plainPrefix):], "/")
-		r, err := x.parsePlain(r, service, "/"+rest, string(c.URI().QueryString()))
+		r, err := x.parsePlain(r, path, string(c.URI().QueryString()))
 		if err == nil && r.Once && r.Ticket == "" {
 			err = wigeonladder.Errorf(wigeonladder.CodeNeedTicket, headerTicket, "%s %s needs a ticket", r.Method, r.Path)
 		}
@@ -123,10 +123,13 @@
 	return r, nil
 }
 
-// parsePlain fills in a call of a plain service. The path is decoded; it is
-// matched with the routes and sent on in the same canonical form, so that no
-// spelling of a path leads around a route that may not be repeated.
-func (x *index) parsePlain(r wigeonladder.Request, service, path, query string) (wigeonladder.Request, error) {
+// parsePlain fills in a call of a plain service from the decoded path
+// /s/{service}/{path}. What follows the service is matched with the routes and
+// sent on in one canonical form, so that no spelling of a path leads around a
+// route that may not be repeated.
+func (x *index) parsePlain(r wigeonladder.Request, full, query string) (wigeonladder.Request, error) {
+	service, path, _ := strings.Cut(strings.TrimPrefix(full, plainPrefix), "/")
+	path = "/" + path
 	v, ok := x.services[service]
 	if !ok || v.Kind != wigeonladder.KindPlain {
 		return r, wigeonladder.Errorf(wigeonladder.CodeNoService, "", "no plain service %q", service)
@@ -177,11 +180,11 @@
 	}
 	u := fasthttp.AcquireURI()
 	defer fasthttp.ReleaseURI(u)
-	if err := u.Parse([]byte("fleet"), []byte(b.Path)); err != nil {
+	if err := u.Parse([]byte("fleet"), []byte(plainPrefix+b.Service+b.Path)); err != nil {
 		return r, malformed("path", err.Error())
 	}
-	r.Method = strings.ToUpper(b.Method)
-	return x.parsePlain(r, b.Service, string(u.Path()), string(u.QueryString()))
+	r.Method = b.Method
+	return x.parsePlain(r, string(u.Path()), string(u.QueryString()))
 }
 
 // malformed returns the error of a request that cannot be parsed.
--- a/caller/server.go
+++ b/caller/server.go
@@ -122,11 +122,11 @@
 		Logger:                       httpLog{o.Journal},
 	}
 	s.served.Go(func() {
-		if err := s.http.Serve(s.listener); err != nil {
+		if err := s.http.Serve(s.listener); err != nil && s.ctx.Err() == nil {
 			o.Journal.Note("", "caller.stopped", "error", err)
 		}
 	})
-	context.AfterFunc(ctx, func() { _ = s.Shutdown(ctx) })
+	context.AfterFunc(ctx, s.cut)
 	return s
 }
 
@@ -138,11 +138,17 @@
 // returned.
 func (s *Server) Shutdown(ctx context.Context) error {
 	err := s.http.ShutdownWithContext(ctx)
+	s.cut()
+	s.served.Wait()
+	return err
+}
+
+// cut ends the open requests and closes the listener and all connections.
+func (s *Server) cut() {
 	s.cancel(wigeonladder.Errorf(wigeonladder.CodeBroken, "", "the daemon stopped"))
+	_ = s.listener.Close()
 	s.settle()
 	s.listener.CloseConns()
-	s.served.Wait()
-	return err
 }
 
 // settle waits until the requests that were cut off are answered.
