conn: linger before the close after an unreadable request

TestRefusedRequests/body_too_large: closing with unread bytes resets the connection, and the reset overtook the 413. Close now ends its own direction and reads on for at most 1 s.

--- a/conn/conn.go
+++ b/conn/conn.go
@@ -6,12 +6,16 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
 	"time"
 )
 
+// lingerLimit bounds the reading after a Close.
+const lingerLimit = time.Second
+
 // Listener accepts connections that can be watched.
 type Listener struct {
 	net.Listener
@@ -56,7 +60,7 @@
 	}
 	l.mu.Unlock()
 	for _, c := range open {
-		_ = c.Close()
+		_ = c.close()
 	}
 }
 
@@ -71,6 +75,7 @@
 	held    [1]byte
 	hasHeld bool
 	err     error
+	linger  bool
 }
 
 // watch is one background read.
@@ -163,8 +168,37 @@
 	return c.Conn.Write(b)
 }
 
-// Close closes the connection.
+// Linger makes Close read on for a moment. A connection that is closed with
+// unread bytes is reset, and the reset can overtake the last answer.
+func (c *Conn) Linger() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.linger = true
+}
+
+// Close closes the connection. After Linger the end follows in the background.
 func (c *Conn) Close() error {
+	c.mu.Lock()
+	linger := c.linger
+	c.linger = false
+	c.mu.Unlock()
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok && linger && w.CloseWrite() == nil {
+		go c.drain()
+		return nil
+	}
+	return c.close()
+}
+
+// drain reads what the peer still sends and closes the connection.
+func (c *Conn) drain() {
+	if c.Conn.SetReadDeadline(time.Now().Add(lingerLimit)) == nil {
+		_, _ = io.Copy(io.Discard, c.Conn)
+	}
+	_ = c.close()
+}
+
+// close closes the connection at once.
+func (c *Conn) close() error {
 	c.listener.mu.Lock()
 	delete(c.listener.open, c)
 	c.listener.mu.Unlock()
