--- a/caller/fault.go
+++ b/caller/fault.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/conn"
 )
 
 // problem is the JSON body of an error.
@@ -69,6 +70,9 @@
 		e = wigeonladder.Errorf(wigeonladder.CodeTooLarge, "header", "more than %d bytes", maxHeader)
 	}
 	c.SetConnectionClose()
+	if w, ok := c.Conn().(*conn.Conn); ok {
+		w.Linger()
+	}
 	writeError(c, e)
 	s.note(wigeonladder.Request{}, id, e)
 }
--- a/caller/rig_test.go
+++ b/caller/rig_test.go
@@ -56,6 +56,7 @@
 	engine *fake.Engine
 	desk   *fake.Desk
 	client *backend.Client
+	stop   context.CancelFunc
 	config atomic.Pointer[wigeonladder.Config]
 	url    string
 	http   *http.Client
@@ -112,6 +113,7 @@
 		change(r, &o)
 	}
 	ctx, cancel := context.WithCancel(t.Context())
+	r.stop = cancel
 	r.server = caller.NewServer(ctx, o)
 	r.url = "http://" + l.Addr().String()
 	r.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}, Timeout: deadline}
