--- a/backend/client.go
+++ b/backend/client.go
@@ -114,6 +114,10 @@
 // framing, without "data: [DONE]", which the caller's side writes after a nil
 // error. A part is valid only until Write returns. Status codes below 500 are
 // answers; from 500 on they are CodeBackend.
+//
+// A stream may be resumed behind the tokens handed on after CodeBroken and
+// CodeTimeout. After CodeCrossed and CodeBackend it must not: a token may be
+// missing among them.
 func (c *Client) Do(ctx context.Context, a wigeonladder.Attempt, s wigeonladder.Sink) (wigeonladder.Usage, error) {
 	t := &trial{client: c, attempt: a, sink: s, id: AttemptID(a), model: c.isModel(a.Request)}
 	err := t.run(ctx)
--- a/backend/client_test.go
+++ b/backend/client_test.go
@@ -159,16 +159,17 @@
 		{"stream", stream, chunked("", word+": ping\n\n"+word+total(2)), 0, 2},
 		{"stream got JSON", stream, plainOK(`{"usage":{"completion_tokens":4}}`), wigeonladder.CodeBackend, 0},
 		{"stream got refused", stream, "HTTP/1.1 400 B\r\nX-Attempt-Id: r.1\r\nContent-Length: 2\r\n\r\n{}", 0, 0},
-		{"stream lost a token", stream, chunked("", word+total(2)), wigeonladder.CodeBroken, 1},
-		{"stream without count", stream, chunked("", word+"data: [DONE]\n\n"), wigeonladder.CodeBroken, 1},
+		{"stream lost a token", stream, chunked("", word+total(2)), wigeonladder.CodeBackend, 1},
+		{"stream without count", stream, chunked("", word+"data: [DONE]\n\n"), wigeonladder.CodeBackend, 1},
 		{"stream without end", stream, chunked("", word+word), wigeonladder.CodeBroken, 2},
 		{"stream of two answers", stream, chunked("", word+strings.ReplaceAll(word, `"a"`, `"b"`)+total(2)), wigeonladder.CodeCrossed, 1},
+		{"event is no JSON", stream, chunked("", word+"data: {\n\n"+word+total(2)), wigeonladder.CodeBackend, 1},
 		{"error in stream", stream, chunked("", word+"data: {\"error\":{\"message\":\"x\"}}\n\n"), wigeonladder.CodeBackend, 1},
-		{"long event", stream, chunked("", word+"data: "+strings.Repeat("x", 3000)+"\n\n"), wigeonladder.CodeBroken, 1},
+		{"long event", stream, chunked("", word+"data: "+strings.Repeat("x", 3000)+"\n\n"), wigeonladder.CodeBackend, 1},
 		{"resumed", resume, chunked("X-Resume-From: 2\r\n", word+total(3)), 0, 1},
 		{"resume ignored", resume, chunked("", word+word+word+total(3)), wigeonladder.CodeBackend, 0},
 		{"resumed elsewhere", resume, chunked("X-Resume-From: 1\r\n", word+word+total(3)), wigeonladder.CodeBackend, 0},
-		{"resumed short", resume, chunked("X-Resume-From: 2\r\n", word+total(4)), wigeonladder.CodeBroken, 1},
+		{"resumed short", resume, chunked("X-Resume-From: 2\r\n", word+total(4)), wigeonladder.CodeBackend, 1},
 	}
 	for _, k := range cases {
 		t.Run(k.name, func(t *testing.T) {
--- a/backend/event.go
+++ b/backend/event.go
@@ -15,7 +15,14 @@
 const eventBuffer = 1 << 10
 
 // errEventTooLong says that an event exceeds its bound.
-var errEventTooLong = errors.New("an event exceeds the size limit")
+var errEventTooLong = untrusted("an event exceeds the size limit")
+
+// untrusted returns the error of a stream whose tokens may have a gap. Its code
+// differs from that of a stream that broke off: resuming behind a gap would hide
+// the gap, because the counts then agree.
+func untrusted(format string, args ...any) error {
+	return wigeonladder.Errorf(wigeonladder.CodeBackend, "", format, args...)
+}
 
 // eventReader splits a body into server-sent events.
 type eventReader struct {
@@ -181,10 +188,10 @@
 	}
 	var k chunk
 	if err := json.Unmarshal(data, &k); err != nil {
-		return 0, fmt.Errorf("event data: %w", err)
+		return 0, untrusted("event data: %v", err)
 	}
 	if len(k.Error) > 0 && string(k.Error) != "null" {
-		return 0, wigeonladder.Errorf(wigeonladder.CodeBackend, "", "event: %.200s", k.Error)
+		return 0, untrusted("event: %.200s", k.Error)
 	}
 	if err := c.sameAnswer(k.ID); err != nil {
 		return 0, err
@@ -215,10 +222,10 @@
 // check returns an error unless all tokens have arrived.
 func (c *count) check() error {
 	if c.total < 0 {
-		return errors.New("the stream ended without a token count")
+		return untrusted("the stream ended without a token count")
 	}
 	if c.total != c.tokens {
-		return fmt.Errorf("the stream ended with %d of %d tokens", c.tokens, c.total)
+		return untrusted("the stream ended with %d of %d tokens", c.tokens, c.total)
 	}
 	return nil
 }
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -200,8 +200,7 @@
 	case ctx.Err() != nil:
 		return endError(ctx, place, wigeonladder.MayHaveRun, wigeonladder.CodeCallerLost)
 	case errors.As(err, &e):
-		e.Place = place
-		return e
+		return wigeonladder.Errorf(e.Code, place, "%s", e.Detail)
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &n) && n.Timeout():
 		return wigeonladder.Errorf(wigeonladder.CodeTimeout, place, "%v", err)
 	default:
--- a/caller/loop_test.go
+++ b/caller/loop_test.go
@@ -1,16 +1,21 @@
 package caller_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/backend"
+	"github.com/wigeonladder/wigeonladder/caller"
 	"github.com/wigeonladder/wigeonladder/fake"
 )
 
@@ -71,7 +76,7 @@
 		{"truncated stream", fake.EngineFaults{Truncate: true}, true, true, wigeonladder.CodeBroken},
 		{"truncated whole", fake.EngineFaults{Truncate: true}, false, false, wigeonladder.CodeBroken},
 		{"broken stream", fake.EngineFaults{BreakAfter: 5}, true, true, wigeonladder.CodeBroken},
-		{"lost token", fake.EngineFaults{Lose: 7}, true, true, wigeonladder.CodeBroken},
+		{"lost token", fake.EngineFaults{Lose: 7}, true, true, wigeonladder.CodeBackend},
 		{"refused stream", fake.EngineFaults{Refuse: true}, true, false, wigeonladder.CodeRefused},
 		{"refused whole", fake.EngineFaults{Refuse: true}, false, false, wigeonladder.CodeRefused},
 		{"failed", fake.EngineFaults{Fail: true}, true, false, wigeonladder.CodeBackend},
@@ -103,3 +108,80 @@
 	is.True(text != "" && text != whole)
 	is.True(strings.Contains(a.body, fmt.Sprintf("event: error\ndata: {\"code\":%d,", int(c))))
 }
+
+// Guards against answers that are mixed up when many attempts fail in all ways
+// at once and a second attempt follows: a late, crossed, truncated or broken
+// answer must never become part of another.
+func TestFaultsNeverMixAnswers(t *testing.T) {
+	faults := []fake.EngineFaults{
+		{Crossed: true},
+		{Truncate: true},
+		{BreakAfter: 4},
+		{Lose: 3},
+		{Slow: 3000}, // the first token comes long after the attempt's limit
+		{StallAfter: 2},
+		{Fail: true},
+	}
+	var engines []*fake.Engine
+	for _, f := range faults {
+		e := fake.NewEngine(fake.EngineOptions{Listener: listen(t), FirstToken: time.Millisecond})
+		e.SetFaults(f)
+		t.Cleanup(e.Die)
+		engines = append(engines, e)
+	}
+	var next atomic.Int64
+	r := newRig(t, fake.EngineOptions{}, func(r *rig, o *caller.Options) {
+		r.client = backend.NewClient(backend.Options{FirstByte: time.Second, Idle: time.Second, Whole: time.Second})
+		o.Runner = runner(func(ctx context.Context, q wigeonladder.Request, s wigeonladder.Sink) (wigeonladder.Usage, error) {
+			bad := engines[int(next.Add(1))%len(engines)]
+			c := &counter{Sink: s}
+			a := wigeonladder.Attempt{Request: q, Number: 1, Server: wigeonladder.Server{Name: "bad", Address: bad.Address()}}
+			u, err := r.client.Do(ctx, a, c)
+			var e *wigeonladder.Error
+			if !errors.As(err, &e) || c.parts > 0 && e.Code != wigeonladder.CodeBroken && e.Code != wigeonladder.CodeTimeout {
+				return u, err
+			}
+			a.Number, a.From = 2, c.tokens
+			a.Server = wigeonladder.Server{Name: "good", Address: r.engine.Address()}
+			return r.client.Do(ctx, a, c)
+		})
+	})
+	var whole, broken atomic.Int64
+	var g sync.WaitGroup
+	for n := range 70 {
+		g.Go(func() {
+			stream := n%2 == 0
+			body := chatJSON(fmt.Sprint("mixed ", n), 12, stream)
+			a := r.chat(body)
+			text, done := wholeText(a.body), a.status == 200
+			if stream {
+				text, done = streamText(a.body)
+			}
+			switch {
+			case done && text == fake.Answer([]byte(body)):
+				whole.Add(1)
+			case !done && (a.status != 200 || strings.Contains(a.body, "event: error")):
+				broken.Add(1)
+			default:
+				t.Errorf("%d: got %d %v %.300q", n, a.status, a.err, a.body)
+			}
+		})
+	}
+	g.Wait()
+	t.Logf("%d whole, %d with a code", whole.Load(), broken.Load())
+	is.New(t).Equal(whole.Load()+broken.Load(), int64(70))
+	is.New(t).True(whole.Load() >= 60)
+}
+
+// counter counts what reached the caller.
+type counter struct {
+	wigeonladder.Sink
+	parts  int
+	tokens int64
+}
+
+func (c *counter) Write(part []byte, tokens int64) error {
+	c.parts++
+	c.tokens += tokens
+	return c.Sink.Write(part, tokens)
+}
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -71,6 +71,7 @@
 			a, err := http.ReadResponse(bufio.NewReader(c), nil)
 			is := is.New(t)
 			is.NoErr(err)
+			defer a.Body.Close()
 			b, err := io.ReadAll(a.Body)
 			is.NoErr(err)
 			// The library reads some of these as requests without a key.
--- a/conn/conn_test.go
+++ b/conn/conn_test.go
@@ -1,8 +1,10 @@
 package conn
 
 import (
+	"errors"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -84,7 +86,7 @@
 	for b := make([]byte, 1<<20); err == nil; {
 		_, err = c.Write(b)
 	}
-	is.New(t).True(err.(net.Error).Timeout())
+	is.New(t).True(errors.Is(err, os.ErrDeadlineExceeded))
 }
 
 // Guards against a last answer that is lost because the peer still sends.
