--- a/backend/event.go
+++ b/backend/event.go
@@ -15,7 +15,14 @@
 const eventBuffer = 1 << 10
 
 // errEventTooLong says that an event exceeds its bound.
-var errEventTooLong = errors.New("an event exceeds the size limit")
+var errEventTooLong = untrusted("an event exceeds the size limit")
+
+// untrusted returns the error of a stream whose tokens may have a gap. Its code
+// differs from that of a stream that broke off: resuming behind a gap would hide
+// the gap, because the counts then agree.
+func untrusted(format string, args ...any) error {
+	return wigeonladder.Errorf(wigeonladder.CodeBackend, "", format, args...)
+}
 
 // eventReader splits a body into server-sent events.
 type eventReader struct {
@@ -37,12 +44,13 @@
 // call. The error is io.EOF only between two events.
 func (e *eventReader) next() ([]byte, error) {
 	for {
-		if event, ok := e.split(); ok {
-			return event, nil
-		}
-		if len(e.buf)-e.start > e.most {
+		event, ok := e.split()
+		if len(event) > e.most || !ok && len(e.buf)-e.start > e.most {
 			return nil, errEventTooLong
 		}
+		if ok {
+			return event, nil
+		}
 		if e.err != nil {
 			return nil, e.ended()
 		}
@@ -180,10 +188,10 @@
 	}
 	var k chunk
 	if err := json.Unmarshal(data, &k); err != nil {
-		return 0, fmt.Errorf("event data: %w", err)
+		return 0, untrusted("event data: %v", err)
 	}
 	if len(k.Error) > 0 && string(k.Error) != "null" {
-		return 0, wigeonladder.Errorf(wigeonladder.CodeBackend, "", "event: %.200s", k.Error)
+		return 0, untrusted("event: %.200s", k.Error)
 	}
 	if err := c.sameAnswer(k.ID); err != nil {
 		return 0, err
@@ -193,6 +201,10 @@
 	}
 	n := k.tokens()
 	c.tokens += n
+	if c.total >= 0 && len(k.Choices) == 0 {
+		// The closing count of an incomplete stream is not handed on.
+		return 0, c.check()
+	}
 	return n, nil
 }
 
@@ -210,10 +222,10 @@
 // check returns an error unless all tokens have arrived.
 func (c *count) check() error {
 	if c.total < 0 {
-		return errors.New("the stream ended without a token count")
+		return untrusted("the stream ended without a token count")
 	}
 	if c.total != c.tokens {
-		return fmt.Errorf("the stream ended with %d of %d tokens", c.tokens, c.total)
+		return untrusted("the stream ended with %d of %d tokens", c.tokens, c.total)
 	}
 	return nil
 }
