peer: set the connection before its first request is served

The race detector found that a request could be handled before newLink stored the connection; it is now set by whichever comes first. New tests on virtual time: partition and rejoin, restart without memory, spread of revisions and of leaving servers.

--- a/peer/link.go
+++ b/peer/link.go
@@ -23,8 +23,10 @@
 // link is one connection to another daemon.
 type link struct {
 	mesh    *Mesh
-	conn    *jsonrpc2.Conn
 	dialled bool
+	// conn is also set by the first request, which may come before NewConn
+	// returns.
+	conn atomic.Pointer[jsonrpc2.Conn]
 
 	mu     sync.Mutex
 	vm     string
@@ -38,10 +40,11 @@
 func (m *Mesh) newLink(c net.Conn, dialled bool) *link {
 	l := &link{mesh: m, dialled: dialled, used: time.Now(), queues: map[string]*serial{}}
 	s := newStream(c, m.meter)
-	l.conn = jsonrpc2.NewConn(m.ctx, s, handler{l},
+	conn := jsonrpc2.NewConn(m.ctx, s, handler{l},
 		jsonrpc2.OnSend(s.onSend), jsonrpc2.OnRecv(s.onRecv),
 		// A peer that goes away is no error of this daemon.
 		jsonrpc2.SetLogger(log.New(io.Discard, "", 0)))
+	l.conn.Store(conn)
 	return l
 }
 
@@ -62,7 +65,7 @@
 // alive reports whether the connection is open.
 func (l *link) alive() bool {
 	select {
-	case <-l.conn.DisconnectNotify():
+	case <-l.conn.Load().DisconnectNotify():
 		return false
 	default:
 		return !l.closed.Load()
@@ -72,7 +75,7 @@
 // close ends the connection. Calls under way fail.
 func (l *link) close() {
 	l.closed.Store(true)
-	_ = l.conn.Close()
+	_ = l.conn.Load().Close()
 }
 
 // idle reports whether a dialled connection has not been used for long.
@@ -93,7 +96,7 @@
 		stop := l.watch(ctx)
 		defer stop()
 	}
-	return fromWire(l.conn.Call(ctx, method, params, result))
+	return fromWire(l.conn.Load().Call(ctx, method, params, result))
 }
 
 // begin counts calls under way.
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -65,3 +65,125 @@
 		f.stop()
 	})
 }
+
+// Guards against daemons that stay apart after a partition, and against a
+// rejoin that moves homes at once.
+func TestPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 5)
+		f.startAll()
+		f.within(5*time.Second, "all known", f.agree)
+		time.Sleep(5 * time.Second)
+		f.partition(true)
+		apart := func() bool {
+			return len(f.nodes["vm-000"].Members()) == 2 && len(f.nodes["vm-001"].Members()) == 3
+		}
+		t.Log("partition known after", f.within(10*time.Second, "partition known", apart))
+		time.Sleep(time.Minute)
+		f.partition(false)
+		before := f.nodes["vm-000"].homes()
+		t.Log("rejoin known after", f.within(8*time.Second, "rejoin known", f.agree))
+		time.Sleep(1500 * time.Millisecond)
+		is.Equal(f.nodes["vm-000"].homes(), before)
+		time.Sleep(2 * time.Second)
+		for _, n := range f.nodes {
+			is.Equal(n.homes(), f.nodes["vm-000"].homes())
+		}
+		f.stop()
+	})
+}
+
+// partition cuts zone 0 (daemons 0 and 3) off, or mends the links.
+func (f *fleet) partition(cut bool) {
+	for _, a := range []int{0, 3} {
+		for _, b := range []int{1, 2, 4} {
+			vms := f.config.Register.VMs
+			f.net.setCut(vms[a].Peer, vms[b].Peer, cut)
+		}
+	}
+}
+
+// homes returns the homes of some servers as this daemon sees them.
+func (n *node) homes() string {
+	l := ""
+	for i := range 30 {
+		vm, _ := n.HomeOf(wigeonladder.Server{Name: fmt.Sprint(i), Zone: fmt.Sprintf("zone-%d", i%3)})
+		l += vm + " "
+	}
+	return l
+}
+
+// Guards against a restarted daemon that works with an old configuration or
+// without the charges of others.
+func TestRestartHearsRevisionAndCounters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 5)
+		f.startAll()
+		rows := []wigeonladder.Charge{{Service: "s", Workspace: "w", Total: 5}}
+		for _, n := range f.nodes {
+			n.mu.Lock()
+			n.charges.Rows = rows
+			n.mu.Unlock()
+		}
+		time.Sleep(10 * time.Second)
+		f.nodes["vm-001"].cancel()
+		time.Sleep(time.Second)
+		n := f.start(1, "b", wigeonladder.Config{}, f.config.Register.VMs[3].Peer)
+		heard := func() bool {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return n.config.Revision == 1 && len(n.imported) > 0
+		}
+		took := f.within(500*time.Millisecond, "revision and counters", heard)
+		t.Log("revision and counters after", took)
+		is.Equal(n.imported[0].Rows, rows)
+		is.Equal(n.offered, 1)
+		f.within(time.Second, "all known", func() bool { return len(n.Members()) == 5 })
+		// Its first sequence may be below that of the previous incarnation; it
+		// is known under the new one with the round that follows the first.
+		t.Log("incarnation known after", f.within(1200*time.Millisecond, "incarnation known", func() bool {
+			r, _ := f.nodes["vm-004"].table.Lookup("vm-001")
+			return r.Incarnation == "b"
+		}))
+		f.stop()
+	})
+}
+
+// Guards against a revision or a leaving server that does not reach everybody
+// within the targets of 5 s and 3 s.
+func TestNewsSpreads(t *testing.T) {
+	for _, size := range []int{5, 50} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, size)
+				f.startAll()
+				time.Sleep(20 * time.Second)
+				first := f.nodes["vm-000"]
+				first.mu.Lock()
+				f.config.Revision = 2
+				first.config = f.config
+				first.live = wigeonladder.LiveList{Version: 3, VMs: []wigeonladder.LiveVM{{Name: "server-1", State: wigeonladder.StateLeaving}}}
+				first.mu.Unlock()
+				all := func(ok func(*node) bool) func() bool {
+					return func() bool {
+						for _, n := range f.nodes {
+							if !ok(n) {
+								return false
+							}
+						}
+						return true
+					}
+				}
+				t.Log("leaving known after", f.within(3*time.Second, "leaving known", all(func(n *node) bool {
+					return n.State("server-1") == wigeonladder.StateLeaving
+				})))
+				t.Log("revision known after the leaving, by", f.within(2*time.Second, "revision known", all(func(n *node) bool {
+					return n.getConfig().Revision == 2
+				})))
+				f.stop()
+			})
+		})
+	}
+}
--- a/peer/net_test.go
+++ b/peer/net_test.go
@@ -18,7 +18,6 @@
 type wires struct {
 	mu        sync.Mutex
 	listeners map[string]*pipes
-	open      map[*wire]bool
 	cut       map[[2]string]bool
 }
 
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -23,6 +23,7 @@
 // Handle implements jsonrpc2.Handler. It returns at once, because the
 // connection reads nothing else meanwhile.
 func (h handler) Handle(ctx context.Context, c *jsonrpc2.Conn, q *jsonrpc2.Request) {
+	h.link.conn.Store(c)
 	serve := func() {
 		ctx, cancel := context.WithTimeout(ctx, max(deadlines[q.Method], deadlines[methodPing]))
 		defer cancel()
