--- a/ticket/book.go
+++ b/ticket/book.go
@@ -103,8 +103,8 @@
 	if err != nil {
 		return wigeonladder.Errorf(wigeonladder.CodeBadTicket, r.Path, "%v", err)
 	}
-	if n.vm == b.o.Self && n.incarnation == b.o.Incarnation {
-		return b.own(ctx, n, r).Deliver(s)
+	if n.vm == b.o.Self {
+		return b.RunForwarded(ctx, n.incarnation, r).Deliver(s)
 	}
 	out := b.foreign(ctx, n, r)
 	b.note(r.ID, "ticket_forward", "issuer", n.vm, "code", int(out.Code))
--- /dev/null
+++ b/ticket/book_test.go
@@ -0,0 +1,187 @@
+package ticket
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// runner is a Runner under the control of a test.
+type runner func(ctx context.Context, r wigeonladder.Request, s wigeonladder.Sink) (wigeonladder.Usage, error)
+
+func (f runner) Run(ctx context.Context, r wigeonladder.Request, s wigeonladder.Sink) (wigeonladder.Usage, error) {
+	return f(ctx, r, s)
+}
+
+// answering returns a runner that answers after a second and counts its runs.
+func answering(runs *int) runner {
+	return func(ctx context.Context, r wigeonladder.Request, s wigeonladder.Sink) (wigeonladder.Usage, error) {
+		*runs++
+		time.Sleep(time.Second)
+		if err := ctx.Err(); err != nil {
+			return wigeonladder.Usage{}, err
+		}
+		_ = s.Start(201, "text/plain")
+		return wigeonladder.Usage{}, s.Write(append([]byte("got "), r.Body...), 1)
+	}
+}
+
+// newBook returns a book whose forwards fail.
+func newBook(r wigeonladder.Runner, capacity int) *Book {
+	return NewBook(Options{
+		Self: "vm:1", Incarnation: "a", Runner: r, Capacity: capacity,
+		Incarnations: func(string) (string, bool) { return "", false },
+		Forward: func(context.Context, string, string, wigeonladder.Request) (Outcome, error) {
+			return Outcome{}, errors.New("no answer")
+		},
+	})
+}
+
+// issue returns a request with a new ticket.
+func issue(is *is.I, b *Book, body string) wigeonladder.Request {
+	is.Helper()
+	r := wigeonladder.Request{Workspace: "w", Service: "s", Method: "POST", Path: "/deposit", Body: []byte(body)}
+	name, err := b.Issue("w", "s", "POST", "/deposit")
+	is.NoErr(err)
+	return r.WithTicket(name)
+}
+
+// code returns the code with which a sending ends, CodeOK for an answer.
+func code(ctx context.Context, b *Book, r wigeonladder.Request) wigeonladder.Code {
+	if err := b.Run(ctx, r, &record{}); err != nil {
+		return Failed(err).Code
+	}
+	return wigeonladder.CodeOK
+}
+
+// sent returns the code of a sending by a caller that waits.
+func sent(b *Book, r wigeonladder.Request) wigeonladder.Code {
+	return code(context.Background(), b, r)
+}
+
+// Guards against duplicates that run, and against a run that ends with its
+// caller.
+func TestDuplicatesShareOneRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		runs := 0
+		b := newBook(answering(&runs), 10)
+		r := issue(is, b, "x")
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		is.Equal(code(ctx, b, r), wigeonladder.CodeCallerLost)
+		for range 3 {
+			var rec record
+			is.NoErr(b.Run(t.Context(), r, &rec))
+			is.Equal(rec.out, Outcome{Status: 201, ContentType: "text/plain", Body: []byte("got x"), Tokens: 1})
+		}
+		is.Equal(runs, 1)
+	})
+}
+
+// Guards against a ticket that is used for another call, body or workspace.
+func TestTicketIsBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		runs := 0
+		b := newBook(answering(&runs), 10)
+		r := issue(is, b, "x")
+		for _, change := range []func(*wigeonladder.Request){
+			func(r *wigeonladder.Request) { r.Workspace = "v" },
+			func(r *wigeonladder.Request) { r.Service = "t" },
+			func(r *wigeonladder.Request) { r.Method = "PUT" },
+			func(r *wigeonladder.Request) { r.Path = "/refund" },
+			func(r *wigeonladder.Request) { r.Ticket = strings.Replace(r.Ticket, ":1:", ":2:", 1) },
+			func(r *wigeonladder.Request) { r.Ticket += "x" },
+			func(r *wigeonladder.Request) { r.Ticket = "x" },
+		} {
+			changed := r
+			change(&changed)
+			is.Equal(sent(b, changed), wigeonladder.CodeBadTicket)
+		}
+		is.Equal(sent(b, r), wigeonladder.CodeOK)
+		other := r
+		other.Body = []byte("y")
+		is.Equal(sent(b, other), wigeonladder.CodeBadTicket)
+		is.Equal(sent(b, r.WithTicket("")), wigeonladder.CodeNeedTicket)
+		is.Equal(runs, 1)
+	})
+}
+
+// Guards against outcomes that promise more than is known.
+func TestOutcomes(t *testing.T) {
+	for name, c := range map[string]struct {
+		end   error
+		write int
+		want  wigeonladder.Code
+	}{
+		"not run":              {wigeonladder.Errorf(wigeonladder.CodeWaitTooLong, "", ""), 0, wigeonladder.CodeWaitTooLong},
+		"not run after output": {wigeonladder.Errorf(wigeonladder.CodeWaitTooLong, "", ""), 1, wigeonladder.CodeTicketUnknown},
+		"broken":               {wigeonladder.Errorf(wigeonladder.CodeBroken, "", ""), 1, wigeonladder.CodeTicketUnknown},
+		"no code":              {errors.New("odd"), 0, wigeonladder.CodeTicketUnknown},
+		"too long":             {nil, MaxBody + 1, wigeonladder.CodeTicketUnknown},
+		"whole":                {nil, MaxBody, wigeonladder.CodeOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			runs := 0
+			b := newBook(runner(func(_ context.Context, _ wigeonladder.Request, s wigeonladder.Sink) (wigeonladder.Usage, error) {
+				runs++
+				if c.write > 0 {
+					_ = s.Write(make([]byte, c.write), 0)
+				}
+				return wigeonladder.Usage{}, c.end
+			}), 10)
+			r := issue(is, b, "x")
+			_ = b.Run(t.Context(), r, &record{})
+			is.Equal(sent(b, r), c.want)
+			is.Equal(runs > 1, c.want == wigeonladder.CodeWaitTooLong)
+		})
+	}
+}
+
+// Guards against memory without bound, and against a forgotten ticket that
+// runs again.
+func TestMemoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	runs := 0
+	b := newBook(runner(func(_ context.Context, _ wigeonladder.Request, s wigeonladder.Sink) (wigeonladder.Usage, error) {
+		runs++
+		return wigeonladder.Usage{}, s.Write(make([]byte, MaxBody), 0)
+	}), 1000)
+	unused := issue(is, b, "x")
+	first := issue(is, b, "x")
+	is.Equal(sent(b, first), wigeonladder.CodeOK)
+	for range 2000 {
+		is.Equal(sent(b, issue(is, b, "x")), wigeonladder.CodeOK)
+	}
+	b.mu.Lock()
+	is.True(b.bytes <= maxBytes)
+	is.True(len(b.runs) <= 1000)
+	b.mu.Unlock()
+	is.Equal(sent(b, first), wigeonladder.CodeTicketForgot)
+	is.Equal(sent(b, unused), wigeonladder.CodeTicketForgot)
+	is.Equal(runs, 2001)
+}
+
+// Guards against a stopping daemon that starts work or forgets outcomes.
+func TestSeal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		runs := 0
+		b := newBook(answering(&runs), 10)
+		used, unused := issue(is, b, "x"), issue(is, b, "x")
+		is.Equal(sent(b, used), wigeonladder.CodeOK)
+		b.Seal()
+		is.Equal(sent(b, used), wigeonladder.CodeOK)
+		is.Equal(sent(b, unused), wigeonladder.CodeDraining)
+		is.Equal(b.Running(), 0)
+	})
+}
--- /dev/null
+++ b/ticket/property_test.go
@@ -0,0 +1,310 @@
+package ticket
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// The plan of one fleet run. It is drawn before the run, so that rapid can
+// shrink it and print its seed.
+type plan struct {
+	Steps   []step
+	Results []result
+	// Lost says which forwarded answers are lost, in turn.
+	Lost []bool
+}
+
+// step is one event, After the one before.
+type step struct {
+	After  time.Duration
+	Kind   string
+	Daemon int
+	Ticket int
+	// For is the length of a pause or partition, or the caller's patience.
+	For time.Duration
+}
+
+// result is what one attempt does, in turn.
+type result struct {
+	Takes time.Duration
+	Ends  string
+}
+
+const (
+	planDaemons = 3
+	planTickets = 5
+)
+
+// millis draws a duration.
+func millis(from, to int) *rapid.Generator[time.Duration] {
+	return rapid.Map(rapid.IntRange(from, to), func(ms int) time.Duration { return time.Duration(ms) * time.Millisecond })
+}
+
+// plans draws plans. Sendings are more frequent than faults.
+func plans() *rapid.Generator[plan] {
+	kinds := []string{"issue", "restart", "pause", "cut", "seal"}
+	for range 20 {
+		kinds = append(kinds, "send")
+	}
+	steps := rapid.Custom(func(t *rapid.T) step {
+		return step{
+			After:  millis(0, 30).Draw(t, "after"),
+			Kind:   rapid.SampledFrom(kinds).Draw(t, "kind"),
+			Daemon: rapid.IntRange(0, planDaemons-1).Draw(t, "daemon"),
+			Ticket: rapid.IntRange(0, planTickets-1).Draw(t, "ticket"),
+			For:    millis(1, 100).Draw(t, "for"),
+		}
+	})
+	results := rapid.Custom(func(t *rapid.T) result {
+		return result{
+			Takes: millis(1, 40).Draw(t, "takes"),
+			Ends:  rapid.SampledFrom([]string{"ok", "ok", "refused", "broken"}).Draw(t, "ends"),
+		}
+	})
+	return rapid.Custom(func(t *rapid.T) plan {
+		return plan{
+			Steps:   rapid.SliceOfN(steps, 20, 200).Draw(t, "steps"),
+			Results: rapid.SliceOfN(results, 1, 8).Draw(t, "results"),
+			Lost:    rapid.SliceOfN(rapid.Bool(), 8, 16).Draw(t, "lost"),
+		}
+	})
+}
+
+// world is a fleet of books on virtual time.
+type world struct {
+	plan plan
+
+	mu       sync.Mutex
+	books    [planDaemons]*Book
+	starts   int
+	paused   [planDaemons]time.Time
+	cut      [planDaemons]time.Time
+	attempts int
+	forwards int
+	// tickets holds the issued tickets by number of the plan, runs when the
+	// work of each started, by ticket.
+	tickets [planTickets]string
+	runs    map[string][]time.Time
+	faults  []string
+	codes   map[wigeonladder.Code]int
+}
+
+// fault notes a broken promise.
+func (w *world) fault(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = append(w.faults, fmt.Sprintf(format, args...))
+}
+
+// awake waits while a daemon is paused.
+func (w *world) awake(d int) {
+	for {
+		w.mu.Lock()
+		left := time.Until(w.paused[d])
+		w.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		time.Sleep(left)
+	}
+}
+
+// ranBefore reports whether the work of a ticket started before a time.
+func (w *world) ranBefore(ticket string, t time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, start := range w.runs[ticket] {
+		if start.Before(t) {
+			return true
+		}
+	}
+	return false
+}
+
+// start replaces a daemon by a new incarnation without memory.
+func (w *world) start(d int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.starts++
+	w.books[d] = NewBook(Options{
+		Self: fmt.Sprint(d), Incarnation: fmt.Sprint("i", w.starts), Capacity: 1,
+		Runner: runner(func(_ context.Context, r wigeonladder.Request, s wigeonladder.Sink) (wigeonladder.Usage, error) {
+			return wigeonladder.Usage{}, w.run(d, r, s)
+		}),
+		Forward:      w.forward,
+		Incarnations: w.incarnations,
+	})
+}
+
+// incarnations knows every second daemon's newest incarnation.
+func (w *world) incarnations(vm string) (string, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	d := int(vm[0] - '0')
+	return w.books[d].o.Incarnation, d%2 == 0
+}
+
+// run is one attempt at a backend server.
+func (w *world) run(d int, r wigeonladder.Request, s wigeonladder.Sink) error {
+	w.awake(d)
+	w.mu.Lock()
+	res := w.plan.Results[w.attempts%len(w.plan.Results)]
+	w.attempts++
+	if res.Ends != "refused" {
+		w.runs[r.Ticket] = append(w.runs[r.Ticket], time.Now())
+		if len(w.runs[r.Ticket]) > 1 {
+			w.faults = append(w.faults, "ticket "+r.Ticket+" ran twice")
+		}
+	}
+	w.mu.Unlock()
+	time.Sleep(res.Takes)
+	switch res.Ends {
+	case "refused":
+		return wigeonladder.Errorf(wigeonladder.CodeRefused, "", "refused")
+	case "broken":
+		return wigeonladder.Errorf(wigeonladder.CodeBroken, "", "broken")
+	}
+	return s.Write([]byte(r.Ticket), 1)
+}
+
+// forward carries a request to its issuer and the outcome back.
+func (w *world) forward(ctx context.Context, vm, incarnation string, r wigeonladder.Request) (Outcome, error) {
+	d := int(vm[0] - '0')
+	time.Sleep(2 * time.Millisecond)
+	w.mu.Lock()
+	lost := w.plan.Lost[w.forwards%len(w.plan.Lost)]
+	w.forwards++
+	cut := time.Now().Before(w.cut[d])
+	w.mu.Unlock()
+	if cut {
+		return Outcome{}, errors.New("unreachable")
+	}
+	w.awake(d)
+	w.mu.Lock()
+	b := w.books[d]
+	w.mu.Unlock()
+	out := b.RunForwarded(ctx, incarnation, r)
+	w.check(r.Ticket, out.Code, time.Now(), "the issuer")
+	time.Sleep(2 * time.Millisecond)
+	if lost || ctx.Err() != nil {
+		return Outcome{}, errors.New("the answer was lost")
+	}
+	return out, nil
+}
+
+// check notes a fault if "not run" is said of a ticket whose work had started
+// before the given time. CodeBadTicket speaks of another request and does not
+// occur here.
+func (w *world) check(ticket string, c wigeonladder.Code, t time.Time, who string) {
+	if c.Fact().Outcome == wigeonladder.NotRun && w.ranBefore(ticket, t) {
+		w.fault("%s said %v of ticket %s, which had run", who, c, ticket)
+	}
+}
+
+// send is one sending by a caller with limited patience.
+func (w *world) send(s step) {
+	w.mu.Lock()
+	b, name := w.books[s.Daemon], w.tickets[s.Ticket]
+	w.mu.Unlock()
+	if name == "" {
+		return
+	}
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), s.For)
+	defer cancel()
+	var rec record
+	r := wigeonladder.Request{Workspace: "w", Service: "s", Method: "POST", Path: "/p", Body: []byte("b")}
+	err := b.Run(ctx, r.WithTicket(name), &rec)
+	c := wigeonladder.CodeOK
+	if err != nil {
+		c = Failed(err).Code
+	} else if string(rec.out.Body) != name {
+		w.fault("ticket %s got the answer %q", name, rec.out.Body)
+	}
+	w.check(name, c, start, "a daemon")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.codes[c]++
+}
+
+// step carries out one step of the plan.
+func (w *world) step(s step) {
+	time.Sleep(s.After)
+	until := time.Now().Add(s.For)
+	switch s.Kind {
+	case "send":
+		go w.send(s)
+	case "restart":
+		w.start(s.Daemon)
+	case "issue":
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if name, err := w.books[s.Daemon].Issue("w", "s", "POST", "/p"); err == nil {
+			w.tickets[s.Ticket] = name
+		}
+	case "pause":
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.paused[s.Daemon] = until
+	case "cut":
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.cut[s.Daemon] = until
+	case "seal":
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.books[s.Daemon].Seal()
+	}
+}
+
+// play runs a plan to its end.
+func play(t *testing.T, p plan) *world {
+	w := &world{plan: p, runs: map[string][]time.Time{}, codes: map[wigeonladder.Code]int{}}
+	synctest.Test(t, func(*testing.T) {
+		for d := range planDaemons {
+			w.start(d)
+		}
+		for i := range planTickets {
+			w.step(step{Kind: "issue", Daemon: i % planDaemons, Ticket: i})
+		}
+		for _, s := range p.Steps {
+			w.step(s)
+		}
+		time.Sleep(time.Minute)
+	})
+	return w
+}
+
+// Guards against a second run of a ticket, and against "not run" for one that
+// ran, whatever is resent, lost, cut off, restarted, paused, sealed or
+// forgotten. rapid prints the seed of a failure.
+func TestAtMostOnce(t *testing.T) {
+	codes := map[wigeonladder.Code]int{}
+	rapid.Check(t, func(rt *rapid.T) {
+		w := play(t, plans().Draw(rt, "plan"))
+		for c, n := range w.codes {
+			codes[c] += n
+		}
+		if len(w.faults) > 0 {
+			rt.Fatalf("%d faults, first: %s", len(w.faults), w.faults[0])
+		}
+	})
+	t.Log("answers by code:", codes)
+	for _, c := range []wigeonladder.Code{
+		wigeonladder.CodeOK, wigeonladder.CodeRefused, wigeonladder.CodeDraining, wigeonladder.CodeCallerLost,
+		wigeonladder.CodeTicketGone, wigeonladder.CodeTicketAway, wigeonladder.CodeTicketForgot, wigeonladder.CodeTicketUnknown,
+	} {
+		if codes[c] == 0 {
+			t.Errorf("the plans never led to %v, so the check is weak", c)
+		}
+	}
+}
