--- a/cmd/wigeonladder/script_test.go
+++ b/cmd/wigeonladder/script_test.go
@@ -6,9 +6,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"regexp"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -47,6 +49,7 @@
 			n := networks.Add(1)
 			e.Setenv("NET", fmt.Sprintf("127.%d.%d", 10+os.Getpid()%200, n))
 			e.Setenv("WIGEONLADDER_KEY", standin.OperatorKey)
+			e.Values[scenarioKey{}] = &scenario{served: map[string]int{}}
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
@@ -56,10 +59,26 @@
 			"eventually": eventually,
 			"signal":     signalProcess,
 			"publish":    publish,
+			"setenv":     setenv,
+			"once":       once,
+			"runs":       runs,
+			"served":     served,
+			"cutzone":    cutzone,
 		},
 	})
 }
 
+// scenario is what the commands of one scenario remember.
+type scenario struct {
+	layout standin.Layout
+	site   demo.Site
+	served map[string]int
+}
+
+type scenarioKey struct{}
+
+func state(ts *testscript.TestScript) *scenario { return ts.Value(scenarioKey{}).(*scenario) }
+
 // lay writes the plan, the configuration and the settings of a site's fleet on
 // the scenario's network: lay guild|tlaloc.
 func lay(ts *testscript.TestScript, neg bool, args []string) {
@@ -79,6 +98,7 @@
 		l.Settings[i].LeadTime = setting.Duration(500 * time.Millisecond)
 	}
 	ts.Check(l.Write(ts.MkAbs(".")))
+	state(ts).layout, state(ts).site = l, site
 	for i, s := range l.Settings {
 		ts.Setenv(fmt.Sprintf("VM%d", i+1), s.Name)
 		ts.Setenv(fmt.Sprintf("CALLER%d", i+1), s.Caller)
@@ -230,3 +250,94 @@
 	_, err = send("POST", ts.Getenv("PLATFORM")+"/control/live", live)
 	ts.Check(err)
 }
+
+// setenv sets a variable to the last line of a file: setenv NAME FILE.
+func setenv(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: setenv NAME FILE")
+	}
+	lines := strings.Split(strings.TrimSpace(ts.ReadFile(args[1])), "\n")
+	ts.Setenv(args[0], lines[len(lines)-1])
+}
+
+// once repeats a call that may not be repeated until it ends with a code:
+// once CODE ENTRY WORKSPACE SERVICE PATH TICKET BODY. Codes that ask to send
+// again are what callers meet in between.
+func once(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 7 {
+		ts.Fatalf("usage: once CODE ENTRY WORKSPACE SERVICE PATH TICKET BODY")
+	}
+	c := fake.NewCaller(standin.KeyOf(args[2]))
+	until(ts, "once", func() error {
+		r, err := c.Plain(context.Background(), args[1], "POST", args[3], args[4], args[5], []byte(args[6]))
+		if err != nil {
+			return err
+		}
+		if fmt.Sprint(int(r.Code)) != args[0] {
+			return fmt.Errorf("the code is %v", r.Code)
+		}
+		return nil
+	})
+}
+
+// runs checks how often the application servers executed calls of a path:
+// runs PATH COUNT.
+func runs(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: runs PATH COUNT")
+	}
+	sum := 0
+	for _, d := range state(ts).layout.Plan.Desks {
+		b, err := send("GET", d.Listen+"/control/runs", nil)
+		ts.Check(err)
+		counts := map[string]int{}
+		ts.Check(json.Unmarshal(b, &counts))
+		for key, n := range counts {
+			if strings.HasPrefix(key, args[0]+" ") {
+				sum += n
+			}
+		}
+	}
+	if fmt.Sprint(sum) != args[1] {
+		ts.Fatalf("%s was executed %d times, not %s", args[0], sum, args[1])
+	}
+}
+
+// served remembers how many requests an engine admitted, or checks that it
+// admitted no more since: served before|same ADDRESS.
+func served(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: served before|same ADDRESS")
+	}
+	b, err := send("GET", args[1]+"/control/served", nil)
+	ts.Check(err)
+	var n int
+	ts.Check(json.Unmarshal(b, &n))
+	counts := state(ts).served
+	if args[0] == "same" && counts[args[1]] != n {
+		ts.Fatalf("the engine admitted %d requests since", n-counts[args[1]])
+	}
+	counts[args[1]] = n
+}
+
+// cutzone cuts or mends all links between a zone and everything outside it:
+// cutzone ZONE on|off.
+func cutzone(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: cutzone ZONE on|off")
+	}
+	s := state(ts)
+	for _, relay := range s.layout.Plan.Relays {
+		target := s.site.Zone(relay.Name)
+		for i, vm := range s.site.Register.VMs {
+			inside := vm.Zone == args[0]
+			if inside == (target == args[0]) || !inside && target == "" {
+				continue
+			}
+			host, _, err := net.SplitHostPort(s.layout.Settings[i].Peer)
+			ts.Check(err)
+			_, err = send("POST", fmt.Sprintf("%s/cut?relay=%s&source=%s&on=%t", ts.Getenv("CONTROL"), relay.Name, host, args[1] == "on"), nil)
+			ts.Check(err)
+		}
+	}
+}
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -177,6 +177,8 @@
 		writeJSON(c, e.Load())
 	case "/control/faults":
 		control(c, e.SetFaults)
+	case "/control/served":
+		writeJSON(c, e.Served())
 	case "/control/die":
 		e.Die()
 	default:
