--- /dev/null
+++ b/retry/rig_test.go
@@ -0,0 +1,238 @@
+package retry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+const (
+	// placeTime is how long the rig takes to grant a contract, workTime how
+	// long a server works on a request.
+	placeTime = time.Millisecond
+	workTime  = 50 * time.Millisecond
+)
+
+// rig is a placer and a backend on virtual time, with servers that can be told
+// how to fail. A server crashes with all its requests when it runs one whose
+// body starts with "crash".
+type rig struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	servers []string
+	free    map[string]int
+	up      map[string]bool
+	states  map[string]wigeonladder.State
+	// fail replaces the run of an attempt if it is set.
+	fail func(a wigeonladder.Attempt, s wigeonladder.Sink) error
+	// before runs between the decision to send and the last check.
+	before func(a wigeonladder.Attempt)
+
+	contracts uint64
+	// held counts the releases that each contract still owes.
+	held  map[uint64]int
+	sent  []wigeonladder.Attempt
+	lost  []string
+	crash map[string]chan struct{}
+}
+
+func newRig(t *testing.T, servers, slots int) *rig {
+	v := rand.Uint64()
+	t.Logf("seed %d", v)
+	g := &rig{
+		random: rand.New(rand.NewPCG(v, 0)), free: map[string]int{}, up: map[string]bool{},
+		states: map[string]wigeonladder.State{}, held: map[uint64]int{}, crash: map[string]chan struct{}{},
+	}
+	for i := range servers {
+		name := fmt.Sprintf("s%d", i)
+		g.servers = append(g.servers, name)
+		g.free[name], g.up[name], g.crash[name] = slots, true, make(chan struct{})
+	}
+	return g
+}
+
+func (g *rig) runner(s *Suspects) *Runner {
+	return NewRunner(Options{
+		Placer: g, Backend: g, Suspects: s, Seed: 1, Spread: func() {},
+		Server: func(name string) (wigeonladder.Server, bool) {
+			return wigeonladder.Server{Name: name}, true
+		},
+		State: func(name string) wigeonladder.State {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			if st, ok := g.states[name]; ok {
+				return st
+			}
+			return wigeonladder.StateLive
+		},
+	})
+}
+
+// Place grants a random free slot of a server that is up.
+func (g *rig) Place(ctx context.Context, r wigeonladder.Request) (wigeonladder.Contract, error) {
+	for {
+		select {
+		case <-time.After(placeTime):
+		case <-ctx.Done():
+			return wigeonladder.Contract{}, wigeonladder.Errorf(wigeonladder.CodeCallerGone, r.ID, "gone")
+		}
+		if c, ok := g.grant(); ok {
+			return c, nil
+		}
+	}
+}
+
+func (g *rig) grant() (wigeonladder.Contract, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, i := range g.random.Perm(len(g.servers)) {
+		name := g.servers[i]
+		if g.up[name] && g.free[name] > 0 {
+			g.free[name]--
+			g.contracts++
+			g.held[g.contracts] = 1
+			id := wigeonladder.ContractID{Home: "h", Number: g.contracts}
+			return wigeonladder.Contract{ID: id, Server: name, Received: time.Now()}, true
+		}
+	}
+	return wigeonladder.Contract{}, false
+}
+
+func (g *rig) Progress(wigeonladder.Contract, int64) {}
+
+func (g *rig) Release(c wigeonladder.Contract, _ wigeonladder.Usage) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.held[c.ID.Number]--
+	g.free[c.Server]++
+}
+
+func (g *rig) Load(context.Context, wigeonladder.Server) (wigeonladder.Load, error) {
+	return wigeonladder.Load{}, nil
+}
+
+// Do runs an attempt as a server would.
+func (g *rig) Do(ctx context.Context, a wigeonladder.Attempt, s wigeonladder.Sink) (wigeonladder.Usage, error) {
+	if g.before != nil {
+		g.before(a)
+	}
+	if err := a.Check(); err != nil {
+		return wigeonladder.Usage{Failed: true}, err
+	}
+	g.mu.Lock()
+	g.sent = append(g.sent, a)
+	broken := g.crash[a.Server.Name]
+	g.mu.Unlock()
+	if g.fail != nil {
+		if err := g.fail(a, s); err != nil {
+			return wigeonladder.Usage{Failed: true, Cost: 1}, err
+		}
+	}
+	if strings.HasPrefix(string(a.Request.Body), "crash") {
+		time.Sleep(workTime / 2)
+		g.breakServer(a.Server.Name)
+	}
+	select {
+	case <-broken:
+		return wigeonladder.Usage{Failed: true, Cost: 1}, wigeonladder.Errorf(wigeonladder.CodeBroken, a.Server.Name, "connection lost")
+	case <-ctx.Done():
+		return wigeonladder.Usage{Failed: true, Cost: 1}, ctx.Err()
+	case <-time.After(workTime):
+	}
+	if err := s.Start(200, "text/plain"); err != nil {
+		return wigeonladder.Usage{Failed: true, Cost: 1}, err
+	}
+	return wigeonladder.Usage{Cost: 1}, s.Write([]byte("done"), 0)
+}
+
+// breakServer fails all that runs on a server and starts it again.
+func (g *rig) breakServer(name string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lost = append(g.lost, name)
+	close(g.crash[name])
+	g.crash[name] = make(chan struct{})
+}
+
+// settled asserts that every contract was released exactly once.
+func (g *rig) settled(is *is.I) {
+	is.Helper()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, owed := range g.held {
+		if owed != 0 {
+			is.Equal(fmt.Sprintf("contract %d owes %d releases", id, owed), "")
+		}
+	}
+}
+
+// answer is a sink that keeps what it gets.
+type answer struct {
+	starts int
+	parts  []string
+	err    error
+}
+
+func (a *answer) Start(int, string) error { a.starts++; return a.err }
+
+func (a *answer) Write(p []byte, _ int64) error {
+	a.parts = append(a.parts, string(p))
+	return a.err
+}
+
+// bubble runs a test on virtual time and checks for lost contracts at the end.
+func bubble(t *testing.T, servers, slots int, test func(context.Context, *is.I, *rig)) {
+	t.Helper()
+	g := newRig(t, servers, slots)
+	synctest.Test(t, func(t *testing.T) {
+		for _, name := range g.servers {
+			g.crash[name] = make(chan struct{}) // a channel of the bubble
+		}
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		test(ctx, is, g)
+		cancel()
+		synctest.Wait()
+		g.settled(is)
+	})
+}
+
+func request(body string) wigeonladder.Request {
+	return wigeonladder.Request{ID: body, Workspace: "w", Service: "v", Path: "/p", Body: []byte(body)}
+}
+
+// coded asserts the code of an error.
+func coded(is *is.I, err error, want wigeonladder.Code) {
+	is.Helper()
+	var e *wigeonladder.Error
+	if !errors.As(err, &e) {
+		is.Equal(err, want)
+		return
+	}
+	is.Equal(e.Code, want)
+}
+
+// placed lists the servers of the attempts that were sent, in order.
+func (g *rig) placed() []string {
+	var l []string
+	for _, a := range g.sent {
+		l = append(l, a.Server.Name)
+	}
+	return l
+}
+
+func (g *rig) setState(server string, s wigeonladder.State) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.states[server] = s
+}
--- /dev/null
+++ b/retry/rule.go
@@ -0,0 +1,104 @@
+package retry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// mayMove reports whether the request may ask for another contract.
+func (j *job) mayMove() bool {
+	if j.busy == nil {
+		j.moves++
+		return j.moves <= maxMoves
+	}
+	if j.apart.IsZero() {
+		j.apart = time.Now().Add(apartWait)
+	}
+	return time.Now().Before(j.apart)
+}
+
+// mayRetry applies the retry rules to the error of an attempt.
+func (j *job) mayRetry(ctx context.Context, e *wigeonladder.Error) bool {
+	if e.Code.Fact().Outcome == wigeonladder.MayHaveRun {
+		j.worst = e
+	}
+	if ctx.Err() != nil {
+		return false
+	}
+	switch e.Code {
+	case wigeonladder.CodeConnect, wigeonladder.CodeContract:
+		// Nothing was sent, so that even a request that may not be repeated
+		// goes on.
+		return j.mayRetryFree()
+	case wigeonladder.CodeRefused:
+		// Bytes reached the server, although it says that nothing ran.
+		return !j.r.Once && j.mayRetryFree()
+	case wigeonladder.CodeBroken, wigeonladder.CodeTimeout, wigeonladder.CodeCrossed:
+		return !j.r.Once && j.mayRepeat()
+	default:
+		return false
+	}
+}
+
+// mayRetryFree counts a retry after an attempt that did not run.
+func (j *job) mayRetryFree() bool {
+	j.free++
+	return j.free <= maxFree
+}
+
+// mayRepeat reports whether a request that may have run may run again, and
+// spends the budget.
+func (j *job) mayRepeat() bool {
+	if j.retries >= maxRetry || !j.out.resumable(j.r.Stream) {
+		return false
+	}
+	if j.n.o.Suspects.Refused(j.print, j.r.ID) != nil {
+		return false
+	}
+	if !j.n.o.Budget.Spend(j.r.Service, j.r.Workspace) {
+		j.n.note(j.r.ID, "no retry", "reason", "the retry budget is spent")
+		return false
+	}
+	j.retries++
+	return true
+}
+
+// ending returns the error that the caller gets. An attempt that may have run
+// is not hidden by a later error that says "not run".
+func (j *job) ending(e *wigeonladder.Error) error {
+	if e == nil {
+		return nil
+	}
+	if j.worst == nil || e.Code.Fact().Outcome == wigeonladder.MayHaveRun {
+		return e
+	}
+	return wigeonladder.Errorf(j.worst.Code, j.worst.Place, "%s; then %v", j.worst.Detail, e)
+}
+
+// classify returns the error with a code that promises no more than is known.
+// An error without a code says "not run" only if the last check did not pass,
+// and no code says so once output came back.
+func classify(ctx context.Context, err error, sent, output bool) *wigeonladder.Error {
+	var e *wigeonladder.Error
+	if errors.As(err, &e) {
+		if output && e.Code.Fact().Outcome == wigeonladder.NotRun {
+			return wigeonladder.Errorf(wigeonladder.CodeBackend, e.Place, "output came before the error: %v", e)
+		}
+		return e
+	}
+	code := wigeonladder.CodeBackend
+	switch {
+	case !sent && !output && ctx.Err() != nil:
+		code = wigeonladder.CodeCallerGone
+	case !sent && !output:
+		code = wigeonladder.CodeConnect
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		code = wigeonladder.CodeTimeout
+	case ctx.Err() != nil:
+		code = wigeonladder.CodeCallerLost
+	}
+	return wigeonladder.Errorf(code, "", "%v", err)
+}
--- /dev/null
+++ b/retry/runner_test.go
@@ -0,0 +1,338 @@
+package retry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// failing returns a function that fails attempts in turn with the codes, and
+// lets the rest run.
+func failing(codes ...wigeonladder.Code) func(wigeonladder.Attempt, wigeonladder.Sink) error {
+	return func(a wigeonladder.Attempt, _ wigeonladder.Sink) error {
+		if a.Number <= len(codes) && codes[a.Number-1] != wigeonladder.CodeOK {
+			return wigeonladder.Errorf(codes[a.Number-1], a.Server.Name, "injected")
+		}
+		return nil
+	}
+}
+
+// Guards against an outcome that hides an attempt which may have run, against
+// a repeat of what may not be repeated, and against too few or too many tries.
+func TestRetryRules(t *testing.T) {
+	const (
+		ok       = wigeonladder.CodeOK
+		connect  = wigeonladder.CodeConnect
+		refused  = wigeonladder.CodeRefused
+		late     = wigeonladder.CodeContract
+		broken   = wigeonladder.CodeBroken
+		timeout  = wigeonladder.CodeTimeout
+		crossed  = wigeonladder.CodeCrossed
+		internal = wigeonladder.CodeBackend
+	)
+	for name, c := range map[string]struct {
+		fails []wigeonladder.Code
+		once  bool
+		want  wigeonladder.Code
+		tries int
+	}{
+		"no failure":                    {nil, false, ok, 1},
+		"connect, then ok":              {[]wigeonladder.Code{connect}, false, ok, 2},
+		"refused, then ok":              {[]wigeonladder.Code{refused, refused, refused}, false, ok, 4},
+		"refused for good":              {[]wigeonladder.Code{refused, refused, refused, refused}, false, refused, 4},
+		"late contract, then ok":        {[]wigeonladder.Code{late}, false, ok, 2},
+		"timeout, then ok":              {[]wigeonladder.Code{timeout}, false, ok, 2},
+		"crossed, then ok":              {[]wigeonladder.Code{crossed}, false, ok, 2},
+		"two retries at most":           {[]wigeonladder.Code{timeout, timeout, timeout}, false, timeout, 3},
+		"backend error":                 {[]wigeonladder.Code{internal}, false, internal, 1},
+		"may have run, then not run":    {[]wigeonladder.Code{timeout, connect, connect, connect, connect}, false, timeout, 5},
+		"may have run, then refused":    {[]wigeonladder.Code{crossed, refused, timeout, timeout}, false, timeout, 4},
+		"once: connect, then ok":        {[]wigeonladder.Code{connect, late}, true, ok, 3},
+		"once: refused after bytes":     {[]wigeonladder.Code{refused}, true, refused, 1},
+		"once: broken":                  {[]wigeonladder.Code{broken}, true, broken, 1},
+		"once: timeout":                 {[]wigeonladder.Code{timeout}, true, timeout, 1},
+		"once: connect, then may be so": {[]wigeonladder.Code{connect, crossed}, true, crossed, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, 8, 1, func(ctx context.Context, is *is.I, g *rig) {
+				g.fail = failing(c.fails...)
+				r := request("x")
+				r.Once = c.once
+				a := &answer{}
+				_, err := g.runner(nil).Run(ctx, r, a)
+				is.Equal(len(g.sent), c.tries)
+				if c.want == ok {
+					is.NoErr(err)
+					is.Equal(a.parts, []string{"done"})
+					return
+				}
+				coded(is, err, c.want)
+			})
+		})
+	}
+}
+
+// Guards against a plain retry on the server that just failed.
+func TestRetryElsewhere(t *testing.T) {
+	for range 20 {
+		bubble(t, 3, 4, func(ctx context.Context, is *is.I, g *rig) {
+			g.fail = failing(wigeonladder.CodeTimeout, wigeonladder.CodeTimeout)
+			_, err := g.runner(nil).Run(ctx, request("x"), &answer{})
+			is.NoErr(err)
+			l := g.placed()
+			is.True(l[0] != l[1] && l[1] != l[2] && l[0] != l[2])
+		})
+	}
+	bubble(t, 1, 4, func(ctx context.Context, is *is.I, g *rig) {
+		g.fail = failing(wigeonladder.CodeTimeout)
+		_, err := g.runner(nil).Run(ctx, request("x"), &answer{})
+		coded(is, err, wigeonladder.CodeTimeout) // there is no other server
+		is.Equal(len(g.sent), 1)
+	})
+}
+
+// Guards against work sent on a contract that lapsed, or to a server that is
+// leaving, because the process was paused after the decision to send.
+func TestPausedBeforeSending(t *testing.T) {
+	for name, pause := range map[string]func(*rig, string){
+		"late":    func(*rig, string) { time.Sleep(wigeonladder.ContractUseBy + time.Millisecond) },
+		"leaving": func(g *rig, s string) { g.setState(s, wigeonladder.StateLeaving) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, 8, 1, func(ctx context.Context, is *is.I, g *rig) {
+				g.before = func(a wigeonladder.Attempt) { pause(g, a.Server.Name) }
+				r := request("x")
+				r.Once = true
+				_, err := g.runner(nil).Run(ctx, r, &answer{})
+				coded(is, err, wigeonladder.CodeContract)
+				is.Equal(len(g.sent), 0) // so that "not run" is true
+			})
+		})
+	}
+	t.Run("caller gone", func(t *testing.T) {
+		bubble(t, 2, 1, func(ctx context.Context, is *is.I, g *rig) {
+			ctx, cancel := context.WithCancel(ctx)
+			g.before = func(wigeonladder.Attempt) { cancel() }
+			_, err := g.runner(nil).Run(ctx, request("x"), &answer{})
+			coded(is, err, wigeonladder.CodeCallerGone)
+			is.Equal(len(g.sent), 0)
+		})
+	})
+	t.Run("paused after a run", func(t *testing.T) {
+		bubble(t, 8, 1, func(ctx context.Context, is *is.I, g *rig) {
+			g.fail = failing(wigeonladder.CodeTimeout)
+			g.before = func(a wigeonladder.Attempt) {
+				if a.Number > 1 {
+					time.Sleep(time.Second)
+				}
+			}
+			_, err := g.runner(nil).Run(ctx, request("x"), &answer{})
+			coded(is, err, wigeonladder.CodeTimeout) // the first attempt may have run
+			is.Equal(len(g.sent), 1)
+		})
+	})
+}
+
+// Guards against a backend whose errors promise too much: an error without a
+// code, and "not run" after output.
+func TestErrorsPromiseNoMore(t *testing.T) {
+	for name, c := range map[string]struct {
+		fail func(wigeonladder.Attempt, wigeonladder.Sink) error
+		want wigeonladder.Code
+	}{
+		"no code": {func(wigeonladder.Attempt, wigeonladder.Sink) error { return errors.New("odd") }, wigeonladder.CodeBackend},
+		"output first": {func(_ wigeonladder.Attempt, s wigeonladder.Sink) error {
+			_ = s.Start(200, "")
+			return wigeonladder.Errorf(wigeonladder.CodeConnect, "s", "odd")
+		}, wigeonladder.CodeBackend},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, 2, 1, func(ctx context.Context, is *is.I, g *rig) {
+				g.fail = c.fail
+				_, err := g.runner(nil).Run(ctx, request("x"), &answer{})
+				coded(is, err, c.want)
+				is.Equal(len(g.sent), 1)
+			})
+		})
+	}
+}
+
+// Guards against retries that multiply the load when everything fails.
+func TestTotalFailure(t *testing.T) {
+	bubble(t, 8, 50, func(ctx context.Context, is *is.I, g *rig) {
+		n := g.runner(nil)
+		run := func(from, to int) {
+			var all sync.WaitGroup
+			for i := from; i < to; i++ {
+				all.Go(func() { _, _ = n.Run(ctx, request(fmt.Sprint("x", i)), &answer{}) })
+			}
+			all.Wait()
+		}
+		run(0, 200)
+		is.Equal(len(g.sent), 200)
+		g.fail = func(a wigeonladder.Attempt, _ wigeonladder.Sink) error {
+			return wigeonladder.Errorf(wigeonladder.CodeTimeout, a.Server.Name, "injected")
+		}
+		run(200, 1200)
+		is.Equal(len(g.sent), 200+1000+firstRetries+200*earnPercent/100) // every retry was earned
+	})
+}
+
+// Guards against a stream that is repeated or cut when it breaks after output.
+func TestStreamResumes(t *testing.T) {
+	bubble(t, 3, 1, func(ctx context.Context, is *is.I, g *rig) {
+		g.fail = func(a wigeonladder.Attempt, s wigeonladder.Sink) error {
+			is.NoErr(s.Start(200, "text/event-stream"))
+			is.NoErr(s.Write([]byte("role"), 0))
+			for i := a.From; i < a.From+2; i++ {
+				is.NoErr(s.Write(fmt.Append(nil, i), 1))
+			}
+			if a.Number < 3 {
+				return wigeonladder.Errorf(wigeonladder.CodeBroken, a.Server.Name, "broke off")
+			}
+			return nil
+		}
+		r := request("x")
+		r.Stream = true
+		a := &answer{}
+		_, err := g.runner(nil).Run(ctx, r, a)
+		coded(is, err, wigeonladder.CodeBroken) // the second break makes the request suspect
+		is.Equal(a.starts, 1)
+		is.Equal(a.parts, []string{"role", "0", "1", "2", "3"})
+		is.Equal(g.sent[1].From, int64(2))
+	})
+	bubble(t, 3, 1, func(ctx context.Context, is *is.I, g *rig) {
+		g.fail = func(a wigeonladder.Attempt, s wigeonladder.Sink) error {
+			is.NoErr(s.Start(200, "text/plain"))
+			is.NoErr(s.Write([]byte("part"), 0))
+			return wigeonladder.Errorf(wigeonladder.CodeTimeout, a.Server.Name, "broke off")
+		}
+		_, err := g.runner(nil).Run(ctx, request("x"), &answer{})
+		coded(is, err, wigeonladder.CodeTimeout)
+		is.Equal(len(g.sent), 1) // a plain answer cannot be continued
+	})
+}
+
+// Guards against contracts that leak or are released twice when a callee
+// panics, the caller goes or the sink fails.
+func TestContractsAreReleasedOnce(t *testing.T) {
+	bubble(t, 2, 1, func(ctx context.Context, is *is.I, g *rig) {
+		n := g.runner(nil)
+		g.fail = func(wigeonladder.Attempt, wigeonladder.Sink) error { panic("callee") }
+		func() {
+			defer func() { is.Equal(recover(), "callee") }()
+			_, _ = n.Run(ctx, request("x"), &answer{})
+		}()
+		g.fail = nil
+		for _, wait := range []time.Duration{0, placeTime, workTime / 2} {
+			ctx, cancel := context.WithTimeout(ctx, wait)
+			_, err := n.Run(ctx, request("y"), &answer{})
+			is.True(err != nil)
+			cancel()
+		}
+		_, err := n.Run(ctx, request("z"), &answer{err: errors.New("gone")})
+		is.True(err != nil)
+		g.settled(is)
+		for range 2 { // both servers are free again
+			_, err = n.Run(ctx, request("z"), &answer{})
+			is.NoErr(err)
+		}
+	})
+}
+
+// Guards against a request that takes down one server after another, and
+// against innocents that pay for it.
+func TestCrashingRequest(t *testing.T) {
+	for _, guarded := range []bool{true, false} {
+		t.Run(fmt.Sprintf("guarded %v", guarded), func(t *testing.T) {
+			bubble(t, 8, 8, func(ctx context.Context, is *is.I, g *rig) {
+				s := NewSuspects()
+				n := g.runner(s)
+				for i := range 200 {
+					n.o.Budget.Earn("v", "w")
+					_ = i
+				}
+				var innocents sync.WaitGroup
+				stop := make(chan struct{})
+				for i := range 24 {
+					innocents.Go(func() {
+						for k := 0; ; k++ {
+							select {
+							case <-stop:
+								return
+							default:
+							}
+							_, err := n.Run(ctx, request(fmt.Sprint("good", i, k)), &answer{})
+							is.NoErr(err) // every innocent request ends well
+						}
+					})
+				}
+				for range 20 {
+					time.Sleep(time.Second)
+					if !guarded {
+						n.o.Suspects = NewSuspects()
+					}
+					_, err := n.Run(ctx, request("crash"), &answer{})
+					is.True(err != nil)
+				}
+				close(stop)
+				innocents.Wait()
+				t.Logf("servers lost: %d", len(g.lost))
+				if guarded {
+					is.Equal(len(g.lost), refuseAt)
+					_, err := n.Run(ctx, request("crash"), &answer{})
+					coded(is, err, wigeonladder.CodeSuspect)
+					time.Sleep(forgiveAfter)
+					is.NoErr(s.Refused(Fingerprint(request("crash")), ""))
+				} else {
+					is.Equal(len(g.lost), 20*refuseAt)
+				}
+			})
+		})
+	}
+}
+
+// Guards against suspects that run together, so that one is blamed for the
+// break by the other.
+func TestSuspectsRunApart(t *testing.T) {
+	bubble(t, 3, 8, func(ctx context.Context, is *is.I, g *rig) {
+		s := NewSuspects()
+		n := g.runner(s)
+		var mu sync.Mutex
+		running := map[string]int{}
+		g.fail = func(a wigeonladder.Attempt, _ wigeonladder.Sink) error {
+			mu.Lock()
+			running[a.Server.Name]++
+			is.Equal(running[a.Server.Name], 1) // one suspect on a server
+			mu.Unlock()
+			time.Sleep(workTime)
+			mu.Lock()
+			running[a.Server.Name]--
+			mu.Unlock()
+			return nil
+		}
+		var all sync.WaitGroup
+		for i := range 12 {
+			r := request(fmt.Sprint("x", i/2)) // each body twice
+			s.Broke(Fingerprint(r), "elsewhere")
+			all.Go(func() {
+				_, err := n.Run(ctx, r, &answer{})
+				is.NoErr(err)
+			})
+		}
+		all.Wait()
+		for i := range 6 {
+			is.True(!s.Suspected(Fingerprint(request(fmt.Sprint("x", i))))) // cleared
+		}
+		synctest.Wait()
+		is.Equal(len(s.probing), 0)
+	})
+}
