caller: write streams without a second goroutine

A stream body handed to fasthttp needs a goroutine and three buffers for each open stream. The sink now writes to the connection itself and fasthttp's own empty response is dropped by the connection.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -4,8 +4,8 @@
 	"context"
 	"io"
 	"net"
+	"strconv"
 	"strings"
-	"sync"
 
 	"github.com/valyala/fasthttp"
 
@@ -35,17 +35,16 @@
 func (s *Server) run(c *fasthttp.RequestCtx, r wigeonladder.Request) {
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	stop := watch(c.Conn(), func() { cancel(net.ErrClosed) })
-	end := func() {
+	s.open.Add(1)
+	defer func() {
 		stop()
 		cancel(context.Canceled)
-	}
-	s.open.Add(1)
+		s.open.Add(-1)
+	}()
 	if r.Stream {
-		s.stream(ctx, c, r, end)
+		s.stream(ctx, c, r)
 		return
 	}
-	defer s.open.Add(-1)
-	defer end()
 	var w whole
 	err := s.send(ctx, r, &w)
 	s.note(r, r.ID, err)
@@ -118,157 +117,107 @@
 
 // stream runs a request whose answer is sent event by event. The header is
 // sent with the first event; an error before it is answered as an error.
-func (s *Server) stream(ctx context.Context, c *fasthttp.RequestCtx, r wigeonladder.Request, end func()) {
-	p := newPipe(end)
-	go func() {
-		defer s.open.Add(-1)
-		err := s.send(ctx, r, p)
-		s.note(r, r.ID, err)
-		p.finish(err)
-		<-p.closed
-	}()
-	if done, err := p.wait(); done {
-		_ = p.Close()
-		s.writeWhole(c, &p.whole, err)
+func (s *Server) stream(ctx context.Context, c *fasthttp.RequestCtx, r wigeonladder.Request) {
+	e := &events{ctx: c, whole: whole{status: fasthttp.StatusOK, contentType: streamType}}
+	err := s.send(ctx, r, e)
+	s.note(r, r.ID, err)
+	if !e.started && (err != nil || !e.whole.isStream()) {
+		s.writeWhole(c, &e.whole, err)
 		return
 	}
-	c.SetStatusCode(p.whole.status)
-	c.SetContentType(p.whole.contentType)
-	c.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
-	c.SetBodyStream(p, -1)
+	if e.end(err) != nil || err != nil || s.ctx.Err() != nil {
+		c.SetConnectionClose()
+	}
 }
 
-// pipe is the sink of a stream and the body of its response. It holds one part
-// at a time, so a slow caller slows down the reading from the backend server.
-type pipe struct {
-	end func()
+// events is the sink of a stream. It writes to the connection itself: a body
+// handed to fasthttp needs a second goroutine and three more buffers for each
+// open stream. Without fasthttp's buffers in between, a slow caller slows down
+// the reading from the backend server.
+type events struct {
+	ctx     *fasthttp.RequestCtx
+	started bool
 	// whole holds the status and, if the answer is no stream of events, all of
 	// it.
 	whole whole
-
-	started chan struct{}
-	parts   chan []byte
-	taken   chan struct{}
-	closed  chan struct{}
-	once    sync.Once
-
-	// err is the outcome; finished is closed behind it.
-	err      error
-	finished chan struct{}
-
-	part []byte
-	last bool
-}
-
-// newPipe returns a pipe; end is called when the response has been written.
-func newPipe(end func()) *pipe {
-	return &pipe{
-		end:      end,
-		whole:    whole{status: fasthttp.StatusOK, contentType: streamType},
-		started:  make(chan struct{}),
-		parts:    make(chan []byte),
-		taken:    make(chan struct{}),
-		closed:   make(chan struct{}),
-		finished: make(chan struct{}),
-	}
+	out   io.Writer
+	buf   []byte
 }
 
-// Start implements wigeonladder.Sink. A start after the first part, as a
+// Start implements wigeonladder.Sink. A start after the first event, as a
 // resumed stream has it, changes nothing.
-func (p *pipe) Start(status int, contentType string) error {
-	select {
-	case <-p.started:
-	default:
-		return p.whole.Start(status, contentType)
+func (e *events) Start(status int, contentType string) error {
+	if e.started {
+		return nil
 	}
-	return nil
+	return e.whole.Start(status, contentType)
 }
 
-// Write implements wigeonladder.Sink. It returns when the part was copied.
-func (p *pipe) Write(part []byte, tokens int64) error {
-	if !p.whole.isStream() {
-		return p.whole.Write(part, tokens)
+// Write implements wigeonladder.Sink.
+func (e *events) Write(part []byte, tokens int64) error {
+	if !e.whole.isStream() {
+		return e.whole.Write(part, tokens)
 	}
 	if len(part) == 0 {
-		return nil
-	}
-	p.start()
-	select {
-	case p.parts <- part:
-	case <-p.closed:
-		return net.ErrClosed
-	}
-	select {
-	case <-p.taken:
-		return nil
-	case <-p.closed:
-		return net.ErrClosed
+		return nil // an empty chunk would end the stream
 	}
+	return e.write(part, false)
 }
 
-// start lets the response begin.
-func (p *pipe) start() {
-	select {
-	case <-p.started:
-	default:
-		close(p.started)
+// end sends the end mark, or the event of an error.
+func (e *events) end(err error) error {
+	if err != nil {
+		return e.write(errorEvent(err), true)
 	}
+	return e.write([]byte(doneEvent), true)
 }
 
-// finish announces the outcome.
-func (p *pipe) finish(err error) {
-	p.err = err
-	close(p.finished)
-}
-
-// wait returns when the first event is there. If the answer ended before or is
-// no stream of events, done is true and err is the outcome.
-func (p *pipe) wait() (done bool, err error) {
-	select {
-	case <-p.started:
-		return false, nil
-	case <-p.finished:
+// write sends a part, behind the header if it is the first.
+func (e *events) write(part []byte, last bool) error {
+	e.buf = e.buf[:0]
+	if !e.started {
+		e.started = true
+		e.begin()
 	}
-	return p.err != nil || !p.whole.isStream(), p.err
+	e.appendChunk(part)
+	if last {
+		e.appendChunk(nil)
+	}
+	_, err := e.out.Write(e.buf)
+	return err
 }
 
-// Read implements io.Reader for the response's body.
-func (p *pipe) Read(b []byte) (int, error) {
-	if len(p.part) == 0 {
-		if p.last {
-			return 0, io.EOF
-		}
-		p.next()
+// begin takes the response out of fasthttp's hands and prepares the header.
+func (e *events) begin() {
+	h := &e.ctx.Response.Header
+	e.ctx.SetStatusCode(e.whole.status)
+	e.ctx.SetContentType(e.whole.contentType)
+	h.Set(fasthttp.HeaderCacheControl, "no-cache")
+	if e.chunked() {
+		h.SetContentLength(-1)
 	}
-	n := copy(b, p.part)
-	p.part = p.part[n:]
-	if len(p.part) == 0 && !p.last {
-		select {
-		case p.taken <- struct{}{}:
-		case <-p.finished:
-		}
+	if !e.chunked() || e.ctx.Request.Header.ConnectionClose() {
+		e.ctx.SetConnectionClose()
 	}
-	return n, nil
-}
-
-// next waits for the next part or the end.
-func (p *pipe) next() {
-	select {
-	case p.part = <-p.parts:
-	case <-p.finished:
-		p.last = true
-		p.part = []byte(doneEvent)
-		if p.err != nil {
-			p.part = errorEvent(p.err)
-		}
+	e.buf = append(e.buf, h.Header()...)
+	e.out = e.ctx.Conn()
+	if w, ok := e.out.(*conn.Conn); ok {
+		e.out = w.SkipResponse()
 	}
 }
 
-// Close implements io.Closer: the response was written or the caller is gone.
-func (p *pipe) Close() error {
-	p.once.Do(func() {
-		close(p.closed)
-		p.end()
-	})
-	return nil
+// chunked reports whether the caller's version of HTTP has chunks. Without
+// them the end of the connection ends the stream.
+func (e *events) chunked() bool { return e.ctx.Request.Header.IsHTTP11() }
+
+// appendChunk adds a chunk to the buffer; no bytes make the last chunk.
+func (e *events) appendChunk(part []byte) {
+	if !e.chunked() {
+		e.buf = append(e.buf, part...)
+		return
+	}
+	e.buf = strconv.AppendInt(e.buf, int64(len(part)), 16)
+	e.buf = append(e.buf, "\r\n"...)
+	e.buf = append(e.buf, part...)
+	e.buf = append(e.buf, "\r\n"...)
 }
--- /dev/null
+++ b/caller/bench_test.go
@@ -0,0 +1,154 @@
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/fake"
+)
+
+// benchEngine answers at once, so that the fleet's own time dominates.
+var benchEngine = fake.EngineOptions{}
+
+// BenchmarkFirstByte measures the time to the first event, straight to the
+// engine and through caller and backend. The difference is what is added.
+func BenchmarkFirstByte(b *testing.B) {
+	r := newRig(b, benchEngine, nil)
+	for _, c := range []struct{ name, url string }{
+		{"direct", "http://" + r.engine.Address()},
+		{"fleet", r.url},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			b.ReportAllocs()
+			var times []time.Duration
+			for b.Loop() {
+				times = append(times, firstByte(b, r, c.url))
+			}
+			slices.Sort(times)
+			b.ReportMetric(float64(times[len(times)/2].Microseconds()), "p50-us")
+			b.ReportMetric(float64(times[len(times)*99/100].Microseconds()), "p99-us")
+		})
+	}
+}
+
+// firstByte sends a chat request and returns the time to its first event.
+func firstByte(b testing.TB, r *rig, url string) time.Duration {
+	q, _ := http.NewRequest("POST", url+"/v1/chat/completions", strings.NewReader(chatJSON("hello", 8, true)))
+	q.Header.Set("Authorization", "Bearer key-alder")
+	q.Header.Set("X-Attempt-Id", "bench.1")
+	start := time.Now()
+	a, err := r.http.Do(q)
+	if err != nil || a.StatusCode != 200 {
+		b.Fatal(a, err)
+	}
+	defer a.Body.Close()
+	s := bufio.NewScanner(a.Body)
+	s.Scan()
+	d := time.Since(start)
+	done := false
+	for s.Scan() {
+		done = done || s.Text() == "data: [DONE]"
+	}
+	if !done {
+		b.Fatal("the stream is not complete")
+	}
+	return d
+}
+
+// BenchmarkOpenStreams measures the memory of open streams. The engines and the
+// callers' sockets are in the same process, so two figures are taken: with
+// callers that go through the fleet and with callers straight at the engine.
+func BenchmarkOpenStreams(b *testing.B) {
+	const streams = 2000
+	for _, c := range []struct {
+		name  string
+		fleet bool
+	}{{"direct", false}, {"fleet", true}} {
+		b.Run(c.name, func(b *testing.B) {
+			for b.Loop() {
+				r := newRig(b, benchEngine, nil)
+				r.engine.SetFaults(fake.EngineFaults{StallAfter: 3})
+				address := r.engine.Address()
+				if c.fleet {
+					address = r.url[len("http://"):]
+				}
+				before := memory()
+				conns := openStreams(b, address, streams)
+				b.ReportMetric(float64(memory()-before)/streams, "B/stream")
+				for _, n := range conns {
+					n.Close()
+				}
+			}
+		})
+	}
+}
+
+// memory returns the heap and stacks in use.
+func memory() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
+
+// openStreams opens streams and waits for the third token of each.
+func openStreams(b *testing.B, address string, n int) []net.Conn {
+	conns := make([]net.Conn, n)
+	var g sync.WaitGroup
+	// Few at once, so that the listen queue does not overflow.
+	turn := make(chan struct{}, 50)
+	for i := range conns {
+		g.Go(func() {
+			turn <- struct{}{}
+			defer func() { <-turn }()
+			c, err := net.Dial("tcp", address)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			conns[i] = c
+			body := chatJSON(strings.Repeat("x", 2000), 9, true)
+			fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-alder\r\nX-Attempt-Id: bench.1\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			_ = c.SetReadDeadline(time.Now().Add(deadline))
+			one := make([]byte, 1)
+			for got := ""; !strings.Contains(got, `"2-`); got += string(one) {
+				if _, err := c.Read(one); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		})
+	}
+	g.Wait()
+	return conns
+}
+
+// BenchmarkRelay measures the time and the allocations of one plain call
+// through caller and backend without a network client's own.
+func BenchmarkRelay(b *testing.B) {
+	r := newRig(b, benchEngine, nil)
+	b.ReportAllocs()
+	for b.Loop() {
+		q := wigeonladder.Request{ID: "b", Service: "desk", Method: "GET", Path: "/x", Estimate: 1}
+		if _, err := r.run(context.Background(), q, drop{}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// drop is a sink that keeps nothing.
+type drop struct{}
+
+func (drop) Start(int, string) error   { return nil }
+func (drop) Write([]byte, int64) error { return nil }
--- a/caller/fault.go
+++ b/caller/fault.go
@@ -71,6 +71,7 @@
 	}
 	c.SetConnectionClose()
 	if w, ok := c.Conn().(*conn.Conn); ok {
+		w.KeepResponse()
 		w.Linger()
 	}
 	writeError(c, e)
--- a/caller/gone_test.go
+++ b/caller/gone_test.go
@@ -1,10 +1,12 @@
 package caller_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -86,20 +88,46 @@
 	waitFor(t, "no request is open", func() bool { return r.server.Open() == 0 })
 }
 
-// Guards against a watched connection losing bytes: requests that follow on
-// the same connection must be read whole.
+// Guards against answers that are lost, doubled or out of order on a connection
+// with several requests, sent at once or one after the other: streams are
+// written around the HTTP library.
 func TestConnectionIsReused(t *testing.T) {
 	r := newRig(t, fake.EngineOptions{}, nil)
-	one := rawRequest("/s/desk/status", "one")
-	c := dialRaw(t, r, one+one+one)
+	body := chatJSON("hello", 5, true)
+	plain, chat := rawRequest("/s/desk/status", "one"), rawRequest("/v1/chat/completions", body)
+	c := dialRaw(t, r, plain+chat+chat+plain)
 	defer c.Close()
-	for range 3 {
-		readReply(t, c)
+	in := bufio.NewReader(c)
+	wantPlain := func() {
+		is.New(t).Equal(readReply(t, c, in), string(fake.DeskAnswer("POST", "/status", []byte("one"))))
+	}
+	wantChat := func() {
+		text, done := streamText(readReply(t, c, in))
+		is.New(t).True(done)
+		is.New(t).Equal(text, fake.Answer([]byte(body)))
 	}
+	wantPlain()
+	wantChat()
+	wantChat()
+	wantPlain()
 	for range 3 {
-		_, err := c.Write([]byte(one))
+		_, err := c.Write([]byte(chat))
 		is.New(t).NoErr(err)
-		readReply(t, c)
+		wantChat()
+		_, err = c.Write([]byte(plain))
+		is.New(t).NoErr(err)
+		wantPlain()
 	}
-	is.New(t).Equal(r.desk.Runs(fake.RunKey("/status", []byte("one"))), 6)
+	is.New(t).Equal(r.desk.Runs(fake.RunKey("/status", []byte("one"))), 5)
+}
+
+// Guards against chunks that a caller of HTTP/1.0 cannot read.
+func TestStreamWithoutChunks(t *testing.T) {
+	r := newRig(t, fake.EngineOptions{}, nil)
+	body := chatJSON("hello", 5, true)
+	c := dialRaw(t, r, strings.Replace(rawRequest("/v1/chat/completions", body), "HTTP/1.1", "HTTP/1.0", 1))
+	defer c.Close()
+	text, done := streamText(readReply(t, c, bufio.NewReader(c)))
+	is.New(t).True(done)
+	is.New(t).Equal(text, fake.Answer([]byte(body)))
 }
--- a/caller/loop_test.go
+++ b/caller/loop_test.go
@@ -178,10 +178,15 @@
 	wigeonladder.Sink
 	parts  int
 	tokens int64
+	total  *atomic.Int64
 }
 
 func (c *counter) Write(part []byte, tokens int64) error {
 	c.parts++
 	c.tokens += tokens
-	return c.Sink.Write(part, tokens)
+	err := c.Sink.Write(part, tokens)
+	if c.total != nil {
+		c.total.Add(tokens)
+	}
+	return err
 }
--- a/caller/rig_test.go
+++ b/caller/rig_test.go
@@ -252,22 +252,18 @@
 	}
 }
 
-// readReply reads one successful HTTP answer. It reads byte by byte, so that
-// nothing of the next answer is lost.
-func readReply(t *testing.T, c net.Conn) {
+// readReply reads the body of one successful HTTP answer.
+func readReply(t *testing.T, c net.Conn, in *bufio.Reader) string {
 	t.Helper()
 	_ = c.SetReadDeadline(time.Now().Add(deadline))
-	a, err := http.ReadResponse(bufio.NewReaderSize(oneByte{c}, 16), nil)
+	a, err := http.ReadResponse(in, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer a.Body.Close()
-	if _, err := io.ReadAll(a.Body); err != nil || a.StatusCode != 200 {
+	b, err := io.ReadAll(a.Body)
+	if err != nil || a.StatusCode != 200 {
 		t.Fatalf("status %d, %v", a.StatusCode, err)
 	}
+	return string(b)
 }
-
-// oneByte reads one byte at a time.
-type oneByte struct{ io.Reader }
-
-func (o oneByte) Read(b []byte) (int, error) { return o.Reader.Read(b[:1]) }
--- a/caller/server.go
+++ b/caller/server.go
@@ -106,14 +106,17 @@
 	s := &Server{options: o, listener: conn.NewListener(o.Listener, writeLimit)}
 	s.ctx, s.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
 	s.http = &fasthttp.Server{
-		Handler:                      s.handle,
-		ErrorHandler:                 s.handleError,
-		Name:                         o.Name,
-		NoDefaultServerHeader:        o.Name == "",
-		ReadTimeout:                  readLimit,
-		IdleTimeout:                  idleLimit,
-		ReadBufferSize:               maxHeader,
-		WriteBufferSize:              maxHeader,
+		Handler:               s.handle,
+		ErrorHandler:          s.handleError,
+		Name:                  o.Name,
+		NoDefaultServerHeader: o.Name == "",
+		ReadTimeout:           readLimit,
+		IdleTimeout:           idleLimit,
+		ReadBufferSize:        maxHeader,
+		WriteBufferSize:       maxHeader,
+		// Releases the read buffer while a handler runs, and sends each response
+		// before the next request is read, which conn.SkipResponse needs.
+		ReduceMemoryUsage:            true,
 		MaxRequestBodySize:           o.MaxBody,
 		Concurrency:                  maxConnections,
 		CloseOnShutdown:              true,
@@ -177,6 +180,9 @@
 
 // handle answers one request.
 func (s *Server) handle(c *fasthttp.RequestCtx) {
+	if w, ok := c.Conn().(*conn.Conn); ok {
+		w.KeepResponse()
+	}
 	path := string(c.Path())
 	if path == "/ready" {
 		s.ready(c)
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -212,12 +212,17 @@
 	})
 	for _, name := range []string{"limit", "context"} {
 		t.Run(name, func(t *testing.T) {
-			r := newRig(t, fake.EngineOptions{}, nil)
+			var sent atomic.Int64
+			r := newRig(t, fake.EngineOptions{}, func(r *rig, o *caller.Options) {
+				o.Runner = runner(func(ctx context.Context, q wigeonladder.Request, s wigeonladder.Sink) (wigeonladder.Usage, error) {
+					return r.run(ctx, q, &counter{Sink: s, total: &sent})
+				})
+			})
 			r.engine.SetFaults(fake.EngineFaults{StallAfter: 3})
 			body := chatJSON("hello", 9, true)
 			got := make(chan reply, 1)
 			go func() { got <- r.chat(body) }()
-			waitFor(t, "the request runs", func() bool { return r.engine.Running() == 1 })
+			waitFor(t, "three tokens are sent", func() bool { return sent.Load() == 3 })
 			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 			defer cancel()
 			if name == "limit" {
--- a/conn/conn.go
+++ b/conn/conn.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -76,6 +77,7 @@
 	hasHeld bool
 	err     error
 	linger  bool
+	skip    atomic.Bool
 }
 
 // watch is one background read.
@@ -158,8 +160,35 @@
 	return c.Conn.Read(b)
 }
 
-// Write writes within the listener's write limit.
+// SkipResponse tells that the handler writes the response itself. It returns a
+// writer for it; what the server writes to the connection is dropped until
+// KeepResponse is called, at the start of the next request. The server must send
+// each response before it handles the next request.
+func (c *Conn) SkipResponse() io.Writer {
+	c.skip.Store(true)
+	return writer{c}
+}
+
+// KeepResponse ends the effect of SkipResponse.
+func (c *Conn) KeepResponse() { c.skip.Store(false) }
+
+// writer writes to a connection whose server is skipped.
+type writer struct{ c *Conn }
+
+// Write implements io.Writer.
+func (w writer) Write(b []byte) (int, error) { return w.c.write(b) }
+
+// Write writes within the listener's write limit, or drops the bytes after
+// SkipResponse.
 func (c *Conn) Write(b []byte) (int, error) {
+	if c.skip.Load() {
+		return len(b), nil
+	}
+	return c.write(b)
+}
+
+// write writes within the listener's write limit.
+func (c *Conn) write(b []byte) (int, error) {
 	if limit := c.listener.writeLimit; limit > 0 {
 		if err := c.Conn.SetWriteDeadline(time.Now().Add(limit)); err != nil {
 			return 0, err
