--- a/fake/engine_test.go
+++ b/fake/engine_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"io"
 	"net"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -12,70 +10,49 @@
 	"github.com/matryer/is"
 )
 
-// listen returns a listener on loopback.
-func listen(t *testing.T) net.Listener {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	return l
-}
+// deadline bounds every wait; no test passes or fails by it unless it hangs.
+const deadline = 20 * time.Second
 
-// post sends a request with headers as keys and values.
-func post(ctx context.Context, address, path, body string, headers ...string) (status int, header http.Header, answer string, err error) {
-	q, err := http.NewRequestWithContext(ctx, "POST", "http://"+address+path, strings.NewReader(body))
-	if err != nil {
-		return 0, nil, "", err
-	}
-	for i := 0; i < len(headers); i += 2 {
-		q.Header.Set(headers[i], headers[i+1])
-	}
-	a, err := http.DefaultClient.Do(q)
-	if err != nil {
-		return 0, nil, "", err
-	}
-	defer a.Body.Close()
-	b, err := io.ReadAll(a.Body)
-	return a.StatusCode, a.Header, string(b), err
-}
+const stream = `{"stream":true,"max_tokens":6}`
 
-const (
-	chat   = "/v1/chat/completions"
-	stream = `{"stream":true,"max_tokens":6}`
-)
+// client returns a client of a stand-in.
+func client(t *testing.T, address string) *Client {
+	c := NewClient(address, "", deadline)
+	t.Cleanup(c.Close)
+	return c
+}
 
 // Guards against a stand-in that does not keep the protocol with the fleet.
 func TestEngineProtocol(t *testing.T) {
-	e := NewEngine(EngineOptions{Listener: listen(t)})
+	e := NewEngine(EngineOptions{Listener: Loopback()})
 	defer e.Die()
+	c := client(t, e.Address())
 	is := is.New(t)
-	_, h, all, err := post(t.Context(), e.Address(), chat, stream, attemptHeader, "r.1")
-	is.NoErr(err)
-	is.Equal(h.Get(attemptHeader), "r.1")
-	is.Equal(strings.Count(all, "delta"), 6)
-	is.True(strings.HasSuffix(all, "\"completion_tokens\":6}}\n\ndata: [DONE]\n\n"))
-	_, h, rest, err := post(t.Context(), e.Address(), chat, stream, attemptHeader, "r.1", resumeHeader, "4")
-	is.NoErr(err)
-	is.Equal(h.Get(resumeHeader), "4")
-	is.True(strings.HasSuffix(all, rest) && strings.Count(rest, "delta") == 2)
-	status, _, _, err := post(t.Context(), e.Address(), "/control/faults", `{"refuse":true,"times":1}`)
-	is.NoErr(err)
-	is.Equal(status, 204)
-	status, h, _, err = post(t.Context(), e.Address(), chat, stream)
-	is.NoErr(err)
-	is.Equal(status, 503)
-	is.Equal(h.Get(notRunHeader), "true")
-	status, _, _, err = post(t.Context(), e.Address(), chat, stream)
-	is.NoErr(err)
-	is.Equal(status, 200)
+	send := func(path, body string, headers ...string) Reply {
+		a := c.Send(t.Context(), "POST", path, body, headers...)
+		is.NoErr(a.Err)
+		return a
+	}
+	const chat = "/v1/chat/completions"
+	all := send(chat, stream, attemptHeader, "r.1")
+	is.Equal(all.Header.Get(attemptHeader), "r.1")
+	is.Equal(strings.Count(all.Body, "delta"), 6)
+	is.True(strings.HasSuffix(all.Body, "\"completion_tokens\":6}}\n\ndata: [DONE]\n\n"))
+	rest := send(chat, stream, attemptHeader, "r.1", resumeHeader, "4")
+	is.Equal(rest.Header.Get(resumeHeader), "4")
+	is.True(strings.HasSuffix(all.Body, rest.Body) && strings.Count(rest.Body, "delta") == 2)
+	is.Equal(send("/control/faults", `{"refuse":true,"times":1}`).Status, 204)
+	refused := send(chat, stream)
+	is.Equal(refused.Status, 503)
+	is.Equal(refused.Header.Get(notRunHeader), "true")
+	is.Equal(send(chat, stream).Status, 200)
 	is.Equal(e.Served(), 3)
 }
 
 // Guards against an engine that admits work without slowing down, and against
 // a load report that does not lag.
 func TestEngineBatches(t *testing.T) {
-	e := NewEngine(EngineOptions{Listener: listen(t), Slots: 2, LoadLag: time.Hour})
+	e := NewEngine(EngineOptions{Listener: Loopback(), Slots: 2, LoadLag: time.Hour})
 	defer e.Die()
 	is := is.New(t)
 	is.Equal(e.stretch(time.Second, 0), time.Second)
@@ -92,65 +69,42 @@
 // Guards against a slot that a gone caller keeps, and an engine that survives
 // the request that is to crash it or does not come back.
 func TestEngineEnds(t *testing.T) {
-	e := NewEngine(EngineOptions{Listener: listen(t)})
+	e := NewEngine(EngineOptions{Listener: Loopback()})
 	defer e.Die()
 	is := is.New(t)
 	e.SetFaults(EngineFaults{StallAfter: -1, Marker: "crash"})
 	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan error, 1)
-	go func() {
-		_, _, _, err := post(ctx, e.Address(), chat, stream)
-		ended <- err
-	}()
-	eventually(t, func() bool { return e.Running() == 1 })
+	c := client(t, e.Address())
+	ended := make(chan Reply, 1)
+	go func() { ended <- c.Chat(ctx, stream) }()
+	is.True(Await(deadline, func() bool { return e.Running() == 1 }))
 	cancel()
-	is.True(<-ended != nil)
-	eventually(t, func() bool { return e.Running() == 0 })
-	_, _, _, err := post(t.Context(), e.Address(), chat, `{"crash":1}`)
-	is.True(err != nil)
+	is.True((<-ended).Err != nil)
+	is.True(Await(deadline, func() bool { return e.Running() == 0 }))
+	is.True(c.Chat(t.Context(), `{"crash":1}`).Err != nil)
 	<-e.Dead()
-	_, err = net.Dial("tcp", e.Address())
+	_, err := net.Dial("tcp", e.Address())
 	is.True(err != nil)
 	e.SetFaults(EngineFaults{})
 	is.NoErr(e.Revive())
-	_, _, _, err = post(t.Context(), e.Address(), chat, stream)
-	is.NoErr(err)
-}
-
-// eventually fails the test unless the condition holds within a generous time.
-func eventually(t *testing.T, ok func() bool) {
-	t.Helper()
-	tick := time.NewTicker(time.Millisecond)
-	defer tick.Stop()
-	limit := time.After(20 * time.Second)
-	for !ok() {
-		select {
-		case <-tick.C:
-		case <-limit:
-			t.Fatal("timed out")
-		}
-	}
+	is.NoErr(c.Chat(t.Context(), stream).Err)
 }
 
 // Guards against executions that are not counted: tests of "at most once" rely
 // on the count also when the answer was dropped.
 func TestDeskCounts(t *testing.T) {
-	d := NewDesk(DeskOptions{Listener: listen(t)})
+	d := NewDesk(DeskOptions{Listener: Loopback()})
 	defer d.Die()
 	is := is.New(t)
-	_, h, answer, err := post(t.Context(), d.Address(), "/deposit?x=1", "body", attemptHeader, "r.1")
-	is.NoErr(err)
-	is.Equal(h.Get(attemptHeader), "r.1")
-	is.Equal(answer, string(DeskAnswer("POST", "/deposit?x=1", []byte("body"))))
+	c := client(t, d.Address())
+	call := func() Reply { return c.Send(t.Context(), "POST", "/deposit?x=1", "body", attemptHeader, "r.1") }
+	a := call()
+	is.Equal(a.Header.Get(attemptHeader), "r.1")
+	is.Equal(a.Body, string(DeskAnswer("POST", "/deposit?x=1", []byte("body"))))
 	d.SetFaults(DeskFaults{Drop: true, Times: 1})
-	_, _, _, err = post(t.Context(), d.Address(), "/deposit?x=1", "body")
-	is.True(err != nil)
+	is.True(call().Err != nil)
 	d.SetFaults(DeskFaults{Refuse: true})
-	_, h, _, err = post(t.Context(), d.Address(), "/deposit?x=1", "body")
-	is.NoErr(err)
-	is.Equal(h.Get(notRunHeader), "true")
+	is.Equal(call().Header.Get(notRunHeader), "true")
 	is.Equal(d.Runs(RunKey("/deposit?x=1", []byte("body"))), 2)
-	_, _, answer, err = post(t.Context(), d.Address(), "/control/runs", "")
-	is.NoErr(err)
-	is.Equal(answer, `{"/deposit?x=1 body":2}`)
+	is.Equal(c.Send(t.Context(), "GET", "/control/runs", "").Body, `{"/deposit?x=1 body":2}`)
 }
--- /dev/null
+++ b/fake/runner.go
@@ -0,0 +1,45 @@
+package fake
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// KeyHash returns the hash of a bearer key as the register holds it.
+func KeyHash(key string) string {
+	h := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(h[:])
+}
+
+// Runner is a function that implements wigeonladder.Runner.
+type Runner func(ctx context.Context, r wigeonladder.Request, s wigeonladder.Sink) (wigeonladder.Usage, error)
+
+// Run implements wigeonladder.Runner.
+func (f Runner) Run(ctx context.Context, r wigeonladder.Request, s wigeonladder.Sink) (wigeonladder.Usage, error) {
+	return f(ctx, r, s)
+}
+
+// Tickets is a stand-in without memory: it runs every call whose ticket names
+// the call, as often as it is sent.
+type Tickets struct {
+	Runner wigeonladder.Runner
+}
+
+// Issue implements wigeonladder.Tickets. The ticket is readable.
+func (t Tickets) Issue(workspace, service, method, path string) (string, error) {
+	return strings.Join([]string{workspace, service, method, path}, " "), nil
+}
+
+// Run implements wigeonladder.Tickets.
+func (t Tickets) Run(ctx context.Context, r wigeonladder.Request, s wigeonladder.Sink) error {
+	want, _ := t.Issue(r.Workspace, r.Service, r.Method, r.Path)
+	if r.Ticket != want {
+		return wigeonladder.Errorf(wigeonladder.CodeBadTicket, r.Ticket, "the ticket is for another call than %q", want)
+	}
+	_, err := t.Runner.Run(ctx, r, s)
+	return err
+}
--- /dev/null
+++ b/fake/script.go
@@ -0,0 +1,93 @@
+package fake
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// Script is a backend server that answers with scripted bytes, also with such
+// as no HTTP library would send, and keeps what it got.
+type Script struct {
+	listener net.Listener
+	answer   func(n int) (answer string, closeAfter bool)
+	running  sync.WaitGroup
+
+	mu       sync.Mutex
+	requests []ScriptRequest
+	conns    []net.Conn
+}
+
+// ScriptRequest is one request that a Script got.
+type ScriptRequest struct {
+	*http.Request
+	Content string
+}
+
+// NewScript serves on the listener until Close is called. For the request with
+// number n, counted from 1, it sends the answer's bytes and then closes the
+// connection if closeAfter is true.
+func NewScript(l net.Listener, answer func(n int) (bytes string, closeAfter bool)) *Script {
+	s := &Script{listener: l, answer: answer}
+	s.running.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns = append(s.conns, c)
+			s.mu.Unlock()
+			s.running.Go(func() { s.serve(c) })
+		}
+	})
+	return s
+}
+
+// serve answers the requests of a connection.
+func (s *Script) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	b := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(b)
+		if err != nil {
+			return
+		}
+		content, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.requests = append(s.requests, ScriptRequest{Request: r, Content: string(content)})
+		n := len(s.requests)
+		s.mu.Unlock()
+		answer, end := s.answer(n)
+		if _, err := io.WriteString(c, answer); err != nil || end {
+			return
+		}
+	}
+}
+
+// Address returns the IP address and port.
+func (s *Script) Address() string { return s.listener.Addr().String() }
+
+// Got returns the requests so far and the number of connections.
+func (s *Script) Got() (requests []ScriptRequest, conns int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]ScriptRequest(nil), s.requests...), len(s.conns)
+}
+
+// Close closes the listener and all connections.
+func (s *Script) Close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	conns := s.conns
+	s.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+	}
+	s.running.Wait()
+}
--- a/fake/server.go
+++ b/fake/server.go
@@ -156,3 +156,30 @@
 
 // Printf implements fasthttp.Logger.
 func (quiet) Printf(string, ...any) {}
+
+// Loopback returns a listener on a free port of the loopback interface. It
+// panics if there is none: nothing can be tested or shown then.
+func Loopback() net.Listener {
+	var lc net.ListenConfig
+	l, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	return l
+}
+
+// awaitPeriod is how often Await asks.
+const awaitPeriod = time.Millisecond
+
+// Await asks until the answer is true. It returns false when the limit has
+// passed before.
+func Await(limit time.Duration, ok func() bool) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	for !ok() {
+		if pause(ctx, awaitPeriod) != nil {
+			return ok()
+		}
+	}
+	return true
+}
