entry: look at the configuration again before refusing for lack of a service

Cause: scenarios that call a daemon as soon as it is ready got code 105, because the queue's view is refreshed every 250 ms and was older than the configuration that the caller's side had used.

--- a/cmd/wigeonladder/script_test.go
+++ b/cmd/wigeonladder/script_test.go
@@ -19,7 +19,6 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/wigeonladder/wigeonladder/demo"
-	"github.com/wigeonladder/wigeonladder/fake"
 	"github.com/wigeonladder/wigeonladder/operator"
 	"github.com/wigeonladder/wigeonladder/setting"
 	"github.com/wigeonladder/wigeonladder/standin"
@@ -139,7 +138,7 @@
 
 // ready waits until the entry daemons at the addresses want traffic.
 func ready(ts *testscript.TestScript, neg bool, args []string) {
-	c := fake.NewCaller("none")
+	c := standin.NewCaller("none")
 	for _, address := range args {
 		until(ts, "ready "+address, func() error {
 			if c.Ready(context.Background(), address) == neg {
@@ -267,7 +266,7 @@
 	if len(args) != 7 {
 		ts.Fatalf("usage: once CODE ENTRY WORKSPACE SERVICE PATH TICKET BODY")
 	}
-	c := fake.NewCaller(standin.KeyOf(args[2]))
+	c := standin.NewCaller(standin.KeyOf(args[2]))
 	until(ts, "once", func() error {
 		r, err := c.Plain(context.Background(), args[1], "POST", args[3], args[4], args[5], []byte(args[6]))
 		if err != nil {
--- a/demo/rig.go
+++ b/demo/rig.go
@@ -41,7 +41,7 @@
 	stand  *standin.Stand
 	policy policy.Policy
 
-	callers map[string]*fake.Caller
+	callers map[string]*standin.Caller
 	entries map[string]string
 
 	mu      sync.Mutex
@@ -67,7 +67,7 @@
 	r := &Rig{
 		ctx:     ctx,
 		site:    s,
-		callers: map[string]*fake.Caller{},
+		callers: map[string]*standin.Caller{},
 		entries: map[string]string{},
 		daemons: map[string]*running{},
 	}
@@ -84,7 +84,7 @@
 		return nil, err
 	}
 	for _, w := range s.Register.Workspaces {
-		r.callers[w.Name] = fake.NewCaller(standin.KeyOf(w.Name))
+		r.callers[w.Name] = standin.NewCaller(standin.KeyOf(w.Name))
 	}
 	for _, v := range r.layout.Settings {
 		r.entries[v.Name] = v.Caller
@@ -138,7 +138,7 @@
 func (r *Rig) waitReady() error {
 	ctx, cancel := context.WithTimeout(r.ctx, rigStart)
 	defer cancel()
-	c := fake.NewCaller("")
+	c := standin.NewCaller("")
 	for vm, entry := range r.entries {
 		for !c.Ready(ctx, entry) {
 			if !sleep(ctx, rigPoll) {
@@ -190,7 +190,7 @@
 	return r.judge(reply, err, fake.Answer(q.Body))
 }
 
-func (r *Rig) sendPlain(ctx context.Context, caller *fake.Caller, entry string, q wigeonladder.Request, s wigeonladder.Sink) error {
+func (r *Rig) sendPlain(ctx context.Context, caller *standin.Caller, entry string, q wigeonladder.Request, s wigeonladder.Sink) error {
 	reply, err := caller.Plain(ctx, entry, q.Method, q.Service, q.Path, "", q.Body)
 	if ctx.Err() != nil {
 		return ctx.Err()
@@ -205,7 +205,7 @@
 
 // judge turns a reply into the error of the request. A complete answer that is
 // not the request's own counts as crossed.
-func (r *Rig) judge(reply fake.Reply, err error, want string) error {
+func (r *Rig) judge(reply standin.Reply, err error, want string) error {
 	switch {
 	case err != nil && reply.Status == 0:
 		return wigeonladder.Errorf(wigeonladder.CodeConnect, "caller", "%v", err)
--- a/entry/place.go
+++ b/entry/place.go
@@ -15,7 +15,12 @@
 		return wigeonladder.Contract{}, q.gone(r)
 	}
 	if err := q.servable(r); err != nil {
-		return wigeonladder.Contract{}, q.refused(r, err)
+		// The view may be older than the configuration that the caller's side
+		// has already checked the request against.
+		q.refresh()
+		if err = q.servable(r); err != nil {
+			return wigeonladder.Contract{}, q.refused(r, err)
+		}
 	}
 	if q.quiet(r.Service) {
 		if c, ok := q.askHomes(ctx, r); ok {
--- a/standin/call.go
+++ b/standin/call.go
@@ -60,7 +60,7 @@
 }
 
 // add counts one reply.
-func (t *Tally) add(r fake.Reply, err error, want string) {
+func (t *Tally) add(r Reply, err error, want string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r.Request != "" {
@@ -90,7 +90,7 @@
 // must give.
 func (c Calls) Run(ctx context.Context) *Tally {
 	t := &Tally{Codes: map[wigeonladder.Code]int{}}
-	caller := fake.NewCaller(KeyOf(c.Workspace))
+	caller := NewCaller(KeyOf(c.Workspace))
 	numbers := make(chan int)
 	var all sync.WaitGroup
 	for range max(1, c.Parallel) {
@@ -113,7 +113,7 @@
 }
 
 // send sends request number n, again if the caller is patient.
-func (c Calls) send(ctx context.Context, caller *fake.Caller, n int) (r fake.Reply, err error, want string) {
+func (c Calls) send(ctx context.Context, caller *Caller, n int) (r Reply, err error, want string) {
 	body, want := c.body(n)
 	for i := range maxRetries {
 		entry := c.Entries[(n+i)%len(c.Entries)]
@@ -128,7 +128,7 @@
 	return r, err, want
 }
 
-func (c Calls) once(ctx context.Context, caller *fake.Caller, entry string, body []byte) (fake.Reply, error) {
+func (c Calls) once(ctx context.Context, caller *Caller, entry string, body []byte) (Reply, error) {
 	if c.Kind == "plain" {
 		return caller.Plain(ctx, entry, "POST", c.Service, c.Path, "", body)
 	}
--- a/fake/caller.go
+++ b/standin/caller.go
@@ -1,4 +1,4 @@
-package fake
+package standin
 
 import (
 	"bufio"
--- a/standin/main.go
+++ b/standin/main.go
@@ -12,8 +12,6 @@
 
 	"github.com/integrii/flaggy"
 	"github.com/pkg/errors"
-
-	"github.com/wigeonladder/wigeonladder/fake"
 )
 
 // Main runs the program with its arguments and returns the exit status: 0 for
@@ -122,7 +120,7 @@
 	s.String(&ticket, "", "ticket", "ticket; without it a new one is printed")
 	s.String(&body, "", "body", "body of the call")
 	return s, func(ctx context.Context, out io.Writer) error {
-		c := fake.NewCaller(KeyOf(workspace))
+		c := NewCaller(KeyOf(workspace))
 		if ticket == "" {
 			t, err := c.Ticket(ctx, entry, service, "POST", path)
 			fmt.Fprintln(out, t)
