conn: keep accepting after a shortage of file descriptors

With 5,000 streams in one process the limit of 20,000 descriptors was reached, 7 connections got no answer, and fasthttp stops accepting for good after such an error. Accept now tries again every 10 ms.

--- a/conn/conn.go
+++ b/conn/conn.go
@@ -11,12 +11,16 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
 // lingerLimit bounds the reading after a Close.
 const lingerLimit = time.Second
 
+// shortagePause is the time before accepting is tried again after a shortage.
+const shortagePause = 10 * time.Millisecond
+
 // Listener accepts connections that can be watched.
 type Listener struct {
 	net.Listener
@@ -32,9 +36,14 @@
 	return &Listener{Listener: l, writeLimit: writeLimit, open: map[*Conn]struct{}{}}
 }
 
-// Accept returns the next connection as a *Conn.
+// Accept returns the next connection as a *Conn. It outlasts a shortage, such as
+// of file descriptors, after which fasthttp would stop accepting for good.
 func (l *Listener) Accept() (net.Conn, error) {
 	n, err := l.Listener.Accept()
+	for err != nil && isShortage(err) {
+		time.Sleep(shortagePause)
+		n, err = l.Listener.Accept()
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -45,6 +54,16 @@
 	return c, nil
 }
 
+// isShortage reports whether accepting can succeed later.
+func isShortage(err error) bool {
+	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // Open returns the number of open connections.
 func (l *Listener) Open() int {
 	l.mu.Lock()
--- a/conn/conn_test.go
+++ b/conn/conn_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -109,3 +110,25 @@
 		is.True(time.Now().Before(end))
 	}
 }
+
+// shortListener has no file descriptor left for its first callers.
+type shortListener struct {
+	net.Listener
+	short int
+}
+
+func (l *shortListener) Accept() (net.Conn, error) {
+	if l.short > 0 {
+		l.short--
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return nil, net.ErrClosed
+}
+
+// Guards against a server that stops accepting for good after a shortage.
+func TestAcceptOutlastsShortage(t *testing.T) {
+	s := &shortListener{short: 3}
+	_, err := NewListener(s, 0).Accept()
+	is.New(t).Equal(err, net.ErrClosed)
+	is.New(t).Equal(s.short, 0)
+}
