--- a/retry/rig_test.go
+++ b/retry/rig_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"fmt"
@@ -236,3 +237,11 @@
 	defer g.mu.Unlock()
 	g.states[server] = s
 }
+
+// forget drops all suspicions, as a fleet without them would.
+func (s *Suspects) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.known = map[uint64]*list.Element{}
+	s.order.Init()
+}
--- /dev/null
+++ b/retry/suspects_test.go
@@ -0,0 +1,106 @@
+package retry
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// Guards against memory that grows with the number of workspaces or requests.
+func TestMemoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	b, s := NewBudget(), NewSuspects()
+	for i := range 3 * maxBuckets {
+		b.Earn("v", string(rune(i)))
+		s.Broke(uint64(i), "a")
+		s.Import([]wigeonladder.Suspicion{{Print: uint64(i) << 32, Servers: []string{"a"}}})
+	}
+	is.Equal(len(b.buckets), maxBuckets)
+	is.Equal(b.used.Len(), maxBuckets)
+	is.Equal(len(s.known), maxSuspects)
+	is.Equal(s.order.Len(), maxSuspects)
+	is.Equal(len(s.Export()), maxExport)
+}
+
+// Guards against two daemons that each saw one break and do not add them up,
+// and against a suspicion that an exchange keeps alive or brings back.
+func TestSuspicionsOfPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const print = 7
+		a, b := NewSuspects(), NewSuspects()
+		is.True(a.Broke(print, "s1"))
+		is.True(!a.Broke(print, "s1")) // not new
+		is.NoErr(a.Refused(print, ""))
+		is.True(b.Broke(print, "s2"))
+		start := time.Now()
+		for a.Refused(print, "") != nil || time.Since(start) < time.Minute {
+			time.Sleep(100 * time.Millisecond) // the delay of a link
+			a.Import(b.Export())
+			time.Sleep(100 * time.Millisecond)
+			b.Import(a.Export())
+			if time.Since(start) < time.Minute {
+				coded(is, a.Refused(print, ""), wigeonladder.CodeSuspect)
+			}
+		}
+		is.True(time.Since(start) < forgiveAfter+sameBreak) // the echo did not extend it
+
+		is.True(a.Broke(print, "s1"))
+		old := a.Export()
+		time.Sleep(time.Second)
+		a.Clear(print)
+		b.Import(a.Export())
+		for i := range old {
+			old[i].Age += time.Second.Milliseconds()
+		}
+		a.Import(old)
+		b.Import(old)
+		is.True(!a.Suspected(print)) // an older break does not undo a clearing
+		is.True(!b.Suspected(print))
+	})
+}
+
+// Guards against two runs of one suspect at a time, and against a wait for the
+// other run that never ends.
+func TestOneRunOfASuspect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := NewSuspects()
+		s.Broke(1, "a")
+		leave, alone, err := s.Enter(context.Background(), 1, "")
+		is.NoErr(err)
+		is.True(alone)
+		_, _, err = s.Enter(context.Background(), 1, "")
+		coded(is, err, wigeonladder.CodeWaitTooLong)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, _, err = s.Enter(ctx, 1, "")
+		coded(is, err, wigeonladder.CodeCallerGone)
+		time.AfterFunc(time.Second, leave)
+		leave, alone, err = s.Enter(context.Background(), 1, "")
+		is.NoErr(err)
+		is.True(alone)
+		leave()
+	})
+}
+
+// Guards against different requests that share a fingerprint.
+func TestFingerprint(t *testing.T) {
+	is := is.New(t)
+	seen := map[uint64]bool{}
+	for _, r := range []wigeonladder.Request{
+		{Workspace: "ab", Service: "c"},
+		{Workspace: "a", Service: "bc"},
+		{Workspace: "a", Service: "b", Path: "c"},
+		{Workspace: "a", Service: "b", Body: []byte("c")},
+	} {
+		is.True(!seen[Fingerprint(r)])
+		seen[Fingerprint(r)] = true
+		is.Equal(Fingerprint(r), Fingerprint(r.WithTicket("t")))
+	}
+}
