entry: fleet tests under faults; exact takeover answers

An empty renewal was taken as the answer to a takeover. An old home that had not noticed the change could still grant, so TestRestartAdmitsNoMore saw servers above their limit.

A grant could be applied to another row of the workspace than the home counted, which lost demand until the next full report (slot free for 200 ms while work waited). The entry now reports all rows of the workspace after a grant.

An entry that refused grants after a pause while work waited made its own home grant in a tight loop; the demand is now reported again after 100 ms.

--- a/contract/grant.go
+++ b/contract/grant.go
@@ -62,7 +62,7 @@
 	}
 	c := l.grant(s, d.Workspace, a.Entry, d.Estimate)
 	p.affinity.Set(d.Prefix, s.Name)
-	l.note("granted", c, "reason", "asked, "+reason)
+	l.note("granted", c, "reason", "asked, "+reason, "inUse", s.inUse, "limit", s.limit)
 	return wigeonladder.Offer{Contract: c, OK: true, Free: p.freeFor(d.Model)}, nil
 }
 
@@ -102,7 +102,7 @@
 		d.inFlight++
 		p.place(d)
 		out.grant(granted{c, d, d.version})
-		l.note("granted", c, "reason", "lowest counter, "+reason)
+		l.note("granted", c, "reason", "lowest counter, "+reason, "inUse", s.inUse, "limit", s.limit)
 	}
 }
 
--- a/contract/renew.go
+++ b/contract/renew.go
@@ -20,17 +20,27 @@
 	now := time.Now()
 	l.mu.Lock()
 	for _, h := range r.Held {
-		l.extend(h, now)
+		if !isAnswer(h) {
+			l.extend(h, now)
+		}
 	}
 	var out outbox
-	if len(r.Held) == 0 {
-		l.answer(r.Entry, &out)
+	for _, h := range r.Held {
+		if isAnswer(h) {
+			l.answer(h.Contract.Server, r.Entry, &out)
+		}
 	}
 	l.mu.Unlock()
 	l.send(out)
 	return nil
 }
 
+// isAnswer reports whether a row of a renewal is the answer to a takeover: a
+// server without a contract id. It says that the entry takes this daemon for
+// the home of the server and that the renewal lists all contracts of the server
+// that the entry holds.
+func isAnswer(h wigeonladder.Held) bool { return h.Contract.ID == wigeonladder.ContractID{} }
+
 // strangers reports whether a renewal names a server that is not an own one.
 // The entry may have learned of a new home before this daemon did.
 func (l *Ledger) strangers(r wigeonladder.Renewal) bool {
--- a/contract/server.go
+++ b/contract/server.go
@@ -24,8 +24,8 @@
 	gained time.Time
 	// waiting is true until the takeover wait is over.
 	waiting bool
-	// answers names the entries that hold no contract, as they said after
-	// gained.
+	// answers names the entries that listed all their contracts of the server
+	// after gained.
 	answers map[string]bool
 	// released counts the releases of the current and the last load window.
 	released [2]int
--- a/contract/view.go
+++ b/contract/view.go
@@ -173,19 +173,19 @@
 	l.o.Journal.Note("", "takeover", "server", s.Name, "reason", reason)
 }
 
-// answer takes an empty renewal as the answer that the entry holds no contract
-// of any server. A renewal that lists contracts is no such answer for a server
-// that it does not name: the entry may still take another daemon for its home.
-func (l *Ledger) answer(vm string, out *outbox) {
-	for _, s := range l.servers {
-		if !s.waiting {
-			continue
-		}
-		s.answers[vm] = true
-		if l.answered(s) {
-			l.ready(s, "every member holds no contract")
-			l.dispatch(s.pool, out)
-		}
+// answer takes note that an entry has listed all its contracts of a server. The
+// takeover wait ends when every live member has done so. A renewal without the
+// row for the server is no answer: its sender may still take another daemon for
+// the home and hold contracts that it renews there.
+func (l *Ledger) answer(name, vm string, out *outbox) {
+	s := l.servers[name]
+	if s == nil || !s.waiting {
+		return
+	}
+	s.answers[vm] = true
+	if l.answered(s) {
+		l.ready(s, "every member has answered")
+		l.dispatch(s.pool, out)
 	}
 }
 
--- a/entry/contact.go
+++ b/entry/contact.go
@@ -34,10 +34,8 @@
 	releases []wigeonladder.Release
 	free     map[laneKey]freeSlots
 	failed   time.Time
-	// used is the time of the last message but for empty renewals.
+	// used is the time of the last report or release.
 	used time.Time
-	// greeted is true once an empty renewal arrived.
-	greeted bool
 	// changed and ended wake the goroutines of the contact.
 	changed chan struct{}
 	ended   chan struct{}
@@ -141,6 +139,17 @@
 	}
 }
 
+// dirtyShelf marks all rows of a workspace.
+func (q *Queue) dirtyShelf(service, workspace string) {
+	l := q.lines[service]
+	if l == nil || l.shelves[workspace] == nil {
+		return
+	}
+	for _, n := range l.shelves[workspace].lanes {
+		q.dirty(n.laneKey)
+	}
+}
+
 // dirtyAll marks all rows.
 func (q *Queue) dirtyAll() {
 	for _, l := range q.lines {
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -29,29 +29,59 @@
 	if _, ok := q.held[c.ID]; ok {
 		return ""
 	}
+	w, reason := q.match(c)
+	if w == nil {
+		q.reportLater(c.Service, c.Workspace)
+		return reason
+	}
+	q.drop(q.lines[c.Service], w)
+	q.hold(c, w.request)
+	// The home takes the contract for an answer to one row of the workspace;
+	// it may have served another one.
+	q.dirtyShelf(c.Service, c.Workspace)
+	q.noteGrant(w.request.ID, c, "first in the queue of its workspace")
+	w.done <- outcome{contract: c}
+	return ""
+}
+
+// match returns the first request that a contract fits, or why there is none.
+func (q *Queue) match(c wigeonladder.Contract) (w *waiter, reason string) {
 	if q.recalled.has(c.ID) {
-		return "recalled"
+		return nil, "recalled"
 	}
 	if c.Received.Sub(q.beat) > pauseGap || c.Received.Before(q.trusted) {
-		return "this daemon was paused"
+		return nil, "this daemon was paused"
 	}
 	l := q.lines[c.Service]
 	if l == nil || l.shelves[c.Workspace] == nil {
-		return "nothing waits"
+		return nil, "nothing waits"
 	}
 	s, ok := q.view.servers[c.Server]
 	if !ok {
-		return "server is not in the register"
+		return nil, "server is not in the register"
 	}
-	w := l.shelves[c.Workspace].head(s.has)
+	w = l.shelves[c.Workspace].head(s.has)
 	if w == nil {
-		return "nothing waits for a model of the server"
+		return nil, "nothing waits for a model of the server"
 	}
-	q.drop(l, w)
-	q.hold(c, w.request)
-	q.noteGrant(w.request.ID, c, "first in the queue of its workspace")
-	w.done <- outcome{contract: c}
-	return ""
+	return w, ""
+}
+
+// reportLater reports the rows of a workspace again after a contract was
+// refused although work waits. Reporting at once would have the home grant
+// and this entry refuse in a tight loop while they disagree on a server.
+func (q *Queue) reportLater(service, workspace string) {
+	l := q.lines[service]
+	if l == nil || l.shelves[workspace] == nil {
+		return
+	}
+	time.AfterFunc(distrust, func() {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		if q.ctx.Err() == nil {
+			q.dirtyShelf(service, workspace)
+		}
+	})
 }
 
 // Recall implements wigeonladder.Entry. Contracts that are not in use go back;
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -17,11 +17,9 @@
 	// for paused.
 	pauseGap = time.Second
 	// distrust is how long after a pause grants are given back: they may have
-	// waited in a socket for longer than their use-by time.
+	// waited in a socket for longer than their use-by time. It is also the time
+	// after which a refused demand is reported again.
 	distrust = 100 * time.Millisecond
-	// firstRenewal is the time from the start to the first renewal, so that a
-	// home that starts at the same time need not wait for a whole period.
-	firstRenewal = 50 * time.Millisecond
 )
 
 // Options are what a Queue needs.
@@ -54,6 +52,7 @@
 	lines    map[string]*line
 	held     map[wigeonladder.ContractID]*hold
 	contacts map[string]*contact
+	answers  map[string]*answer
 	recalled recalled
 	affinity map[string]*contract.Affinity
 	// beat is the time of the last tick.
@@ -86,6 +85,7 @@
 		lines:    map[string]*line{},
 		held:     map[wigeonladder.ContractID]*hold{},
 		contacts: map[string]*contact{},
+		answers:  map[string]*answer{},
 		affinity: map[string]*contract.Affinity{},
 		beat:     time.Now(),
 	}
@@ -103,15 +103,14 @@
 		}
 	}()
 	go func() {
-		t := time.NewTimer(firstRenewal)
+		t := time.NewTicker(wigeonladder.ContractRenew)
 		defer t.Stop()
 		for {
 			select {
 			case <-ctx.Done():
 				return
 			case <-t.C:
-				t.Reset(wigeonladder.ContractRenew)
-				q.renew()
+				q.renew(false)
 				q.repeat()
 			}
 		}
--- a/entry/renew.go
+++ b/entry/renew.go
@@ -7,9 +7,41 @@
 	"github.com/wigeonladder/wigeonladder"
 )
 
-// greetingLife is how long after the last message an entry without contracts
-// still tells a home that it holds none.
-const greetingLife = 10 * time.Second
+// settleTime is how long the home of a server must be the same in the view of
+// this daemon before the entry answers its takeover. After two ticks the home
+// role of this daemon has also stopped to grant slots of the server.
+const settleTime = 2 * tick
+
+// answer is the state of the answer to the home of one server. A home that took
+// the server over may grant once every entry has listed its contracts.
+type answer struct {
+	home  string
+	since time.Time
+	done  bool
+}
+
+// settle follows the homes of the servers; it reports whether an answer is due.
+func (q *Queue) settle(now time.Time) (due bool) {
+	for name, s := range q.view.servers {
+		a := q.answers[name]
+		if a == nil || a.home != s.home {
+			a = &answer{home: s.home, since: now, done: s.home == ""}
+			q.answers[name] = a
+		}
+		due = due || a.due(now)
+	}
+	for name := range q.answers {
+		if _, ok := q.view.servers[name]; !ok {
+			delete(q.answers, name)
+		}
+	}
+	return due
+}
+
+// due reports whether the answer is to be sent.
+func (a *answer) due(now time.Time) bool {
+	return !a.done && now.Sub(a.since) >= settleTime
+}
 
 // Progress implements wigeonladder.Placer: it keeps the cost for the next
 // renewal.
@@ -74,59 +106,60 @@
 	}
 }
 
-// renew renews the contracts in use, in one call for each home. Without any
-// contract it tells the homes so; they take that as the answer that a takeover
-// waits for. An entry that holds contracts elsewhere sends no empty renewal, as
-// it may take another daemon for the home of their servers.
-func (q *Queue) renew() {
+// renew renews the contracts in use, in one call for each home, and adds the
+// answers that are due: rows that name a server without a contract. With
+// answersOnly it calls only the homes that get such a row.
+func (q *Queue) renew(answersOnly bool) {
 	now := time.Now()
-	batches := map[string][]wigeonladder.Held{}
+	held := map[string][]wigeonladder.Held{}
+	answers := map[string][]string{}
 	q.mu.Lock()
 	for _, h := range q.held {
-		home := q.view.servers[h.contract.Server].home
-		if home != "" {
-			batches[home] = append(batches[home], wigeonladder.Held{Contract: h.contract, Cost: h.cost})
-		}
+		vm := q.view.servers[h.contract.Server].home
+		held[vm] = append(held[vm], wigeonladder.Held{Contract: h.contract, Cost: h.cost})
 	}
-	if len(q.held) == 0 {
-		for _, vm := range q.greet(now) {
-			batches[vm] = nil
+	for name, a := range q.answers {
+		if a.due(now) {
+			answers[a.home] = append(answers[a.home], name)
 		}
 	}
-	for vm, batch := range batches {
-		if c := q.contact(vm); len(batch) > 0 {
-			c.used = now
+	for vm := range held {
+		if vm == "" || (answersOnly && answers[vm] == nil) {
+			delete(held, vm)
 		}
 	}
 	q.mu.Unlock()
-	for vm, batch := range batches {
-		go q.sendRenewal(vm, batch)
+	for vm := range answers {
+		held[vm] = append(held[vm], answerRows(answers[vm])...)
+	}
+	for vm, rows := range held {
+		go q.sendRenewal(vm, rows, answers[vm])
 	}
 }
 
-// greet returns the homes that are told that this entry holds no contract:
-// those with recent contact, and once each other member.
-func (q *Queue) greet(now time.Time) []string {
-	var homes []string
-	for _, vm := range q.view.members {
-		c := q.contact(vm)
-		if !c.greeted || now.Sub(c.used) < greetingLife {
-			homes = append(homes, vm)
-		}
+// answerRows returns the rows that name servers without a contract.
+func answerRows(servers []string) []wigeonladder.Held {
+	rows := make([]wigeonladder.Held, len(servers))
+	for i, s := range servers {
+		rows[i].Contract.Server = s
 	}
-	return homes
+	return rows
 }
 
 // sendRenewal sends one batch.
-func (q *Queue) sendRenewal(vm string, batch []wigeonladder.Held) {
+func (q *Queue) sendRenewal(vm string, rows []wigeonladder.Held, answers []string) {
 	call, cancel := context.WithTimeout(q.ctx, wigeonladder.ContractRenew)
 	defer cancel()
-	err := q.o.Fleet.Home(vm).Renew(call, wigeonladder.Renewal{Entry: q.self, Held: batch})
+	err := q.o.Fleet.Home(vm).Renew(call, wigeonladder.Renewal{Entry: q.self, Held: rows})
 	if err != nil {
-		q.o.Journal.Note("", "renewal failed", "home", vm, "contracts", len(batch), "error", err.Error())
+		q.o.Journal.Note("", "renewal failed", "home", vm, "contracts", len(rows)-len(answers), "error", err.Error())
 		return
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.contact(vm).greeted = true
+	for _, name := range answers {
+		if a := q.answers[name]; a != nil && a.home == vm {
+			a.done = true
+		}
+	}
 }
--- /dev/null
+++ b/entry/rig_test.go
@@ -0,0 +1,394 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/contract"
+	"github.com/wigeonladder/wigeonladder/entry"
+	"github.com/wigeonladder/wigeonladder/fake"
+)
+
+// oneWay is the delay of a crossing between zones of the Guild.
+const oneWay = 1500 * time.Microsecond
+
+// idleBound is how long a slot may be free while work that fits it waits: two
+// round trips and the coalescing of reports, and 1 ms of the sampling.
+const idleBound = 4*oneWay + 10*time.Millisecond + time.Millisecond
+
+// rig is a fleet in one process on virtual time, with invariants.
+type rig struct {
+	links  *fake.Links
+	config wigeonladder.Config
+	root   context.Context
+	stop   context.CancelFunc
+	work   sync.WaitGroup
+	// faulty is set once a fault was injected that may admit too much; idling
+	// once one was injected that may idle slots.
+	faulty, idling atomic.Bool
+
+	mu      sync.Mutex
+	daemons map[string]*daemon
+	running map[string]int
+	peak    map[string]int
+	idle    map[string]time.Time
+	codes   map[wigeonladder.Code]int
+	granted map[string]time.Time
+	bad     []string
+	longest time.Duration
+}
+
+// daemon is one daemon of the rig.
+type daemon struct {
+	*gate
+	rig    *rig
+	vm     wigeonladder.VM
+	node   *fake.Node
+	shares *fake.Shares
+	ledger *contract.Ledger
+	queue  *entry.Queue
+	ctx    context.Context
+	kill   context.CancelFunc
+	life   int
+}
+
+// newRig starts daemons in zones by turns, and servers with the given slots.
+func newRig(daemons int, slots ...int) *rig {
+	r := &rig{
+		links:   fake.NewLinks(oneWay),
+		daemons: map[string]*daemon{},
+		running: map[string]int{},
+		peak:    map[string]int{},
+		idle:    map[string]time.Time{},
+		codes:   map[wigeonladder.Code]int{},
+		granted: map[string]time.Time{},
+	}
+	r.root, r.stop = context.WithCancel(context.Background())
+	zones := []string{"ebene", "rose-hill", "curepipe"}
+	r.config.Revision = 1
+	service := wigeonladder.Service{Name: "nib-scribe", Kind: wigeonladder.KindModel}
+	for i, n := range slots {
+		models := []string{"base"}
+		if i%2 == 1 {
+			models = append(models, "large")
+		}
+		service.Servers = append(service.Servers, wigeonladder.Server{
+			Name: fmt.Sprintf("scribe-%d", i), Zone: zones[i%3], Slots: n, MaxSlots: n, Models: models,
+		})
+	}
+	r.config.Register.Services = []wigeonladder.Service{service}
+	for i := range daemons {
+		vm := wigeonladder.VM{Name: fmt.Sprintf("vm-%d", i), Zone: zones[i%3]}
+		r.config.Register.VMs = append(r.config.Register.VMs, vm)
+		r.daemons[vm.Name] = &daemon{gate: &gate{}, rig: r, vm: vm, node: r.links.Add(vm)}
+	}
+	for _, vm := range r.config.Register.VMs {
+		r.daemons[vm.Name].start(entry.Options{})
+	}
+	go r.watch()
+	return r
+}
+
+// start runs the daemon without memory of earlier lives.
+func (d *daemon) start(o entry.Options) {
+	r := d.rig
+	d.life++
+	d.ctx, d.kill = context.WithCancel(r.root)
+	fleet := gatedFleet{d.node, d.gate}
+	d.shares = fake.NewShares()
+	config := func() wigeonladder.Config {
+		d.pass()
+		return r.config
+	}
+	ledger := contract.NewLedger(d.ctx, contract.Options{
+		Fleet: fleet, Shares: d.shares, Config: config, Journal: d,
+		Limiter:     func(s wigeonladder.Server) wigeonladder.Limiter { return fake.FixedLimit(s.Slots) },
+		Load:        r.load,
+		Incarnation: fmt.Sprintf("%s/%d", d.vm.Name, d.life),
+	})
+	o.Fleet, o.Zone, o.Config, o.Journal = fleet, d.vm.Zone, config, d
+	queue := entry.NewQueue(d.ctx, o)
+	r.mu.Lock()
+	d.ledger, d.queue = ledger, queue
+	r.mu.Unlock()
+	d.node.Serve(gatedHome{ledger, d.gate}, gatedEntry{queue, d.gate})
+}
+
+// end kills the daemon; the others see it at once.
+func (d *daemon) end() {
+	d.rig.idling.Store(true)
+	d.rig.links.Down(d.vm.Name, true)
+	d.kill()
+}
+
+// again starts a killed daemon without memory.
+func (d *daemon) again() {
+	d.start(entry.Options{})
+	d.rig.links.Down(d.vm.Name, false)
+}
+
+// load is the in-memory load report of a server, without lag.
+func (r *rig) load(_ context.Context, s wigeonladder.Server) (wigeonladder.Load, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return wigeonladder.Load{Running: r.running[s.Name]}, nil
+}
+
+// fail records a broken invariant.
+func (r *rig) fail(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.bad) < 20 {
+		r.bad = append(r.bad, fmt.Sprintf(format, args...))
+	}
+}
+
+// Note implements wigeonladder.Journal: it checks each grant of a home at the
+// moment when it is decided.
+func (d *daemon) Note(request, event string, fields ...any) {
+	if request != "" || event != "granted" {
+		return
+	}
+	f := map[any]any{}
+	for i := 0; i+1 < len(fields); i += 2 {
+		f[fields[i]] = fields[i+1]
+	}
+	if f["inUse"].(int) > f["limit"].(int) {
+		d.rig.fail("%s granted slot %v of %v", f["server"], f["inUse"], f["limit"])
+	}
+	id := fmt.Sprint(f["contract"], "#", f["number"])
+	d.rig.mu.Lock()
+	_, twice := d.rig.granted[id]
+	d.rig.granted[id] = time.Now()
+	d.rig.granted[f["server"].(string)] = time.Now()
+	d.rig.mu.Unlock()
+	if twice {
+		d.rig.fail("contract %s was granted twice", id)
+	}
+}
+
+// job is one request of the workload.
+type job struct {
+	At        time.Duration
+	Daemon    int
+	Workspace int
+	Runs      time.Duration
+	Patience  time.Duration
+	Urgency   int
+	Model     string
+	Prefix    uint64
+	Cost      int64
+	Estimate  int64
+}
+
+// submit runs one request in the background.
+func (r *rig) submit(name string, j job) {
+	d := r.daemons[fmt.Sprintf("vm-%d", j.Daemon)]
+	r.work.Go(func() {
+		time.Sleep(j.At)
+		ctx, cancel := context.WithCancel(d.ctx)
+		defer cancel()
+		if j.Patience > 0 {
+			t := time.AfterFunc(j.Patience, cancel)
+			defer t.Stop()
+		}
+		d.serve(ctx, wigeonladder.Request{
+			ID: name, Service: "nib-scribe", Workspace: fmt.Sprintf("w-%d", j.Workspace), Model: j.Model,
+			Urgency: wigeonladder.Urgency(j.Urgency), Prefix: j.Prefix, Estimate: j.Estimate, Arrived: time.Now(),
+		}, j)
+	})
+}
+
+// serve places a request and runs it to its end.
+func (d *daemon) serve(ctx context.Context, q wigeonladder.Request, j job) {
+	r := d.rig
+	queue := d.queue
+	began := time.Now()
+	c, err := queue.Place(ctx, q)
+	d.pass()
+	if err != nil {
+		r.count(entry.CodeOf(err))
+		return
+	}
+	r.mu.Lock()
+	r.longest = max(r.longest, time.Since(began))
+	r.mu.Unlock()
+	if err := queue.Check(c); err != nil {
+		queue.Release(c, wigeonladder.Usage{})
+		r.count(entry.CodeOf(err))
+		return
+	}
+	r.begin(c)
+	r.sleep(d.ctx, j.Runs/2)
+	queue.Progress(c, j.Cost/2)
+	r.sleep(d.ctx, j.Runs/2)
+	r.mu.Lock()
+	r.running[c.Server]--
+	r.mu.Unlock()
+	d.pass()
+	queue.Release(c, wigeonladder.Usage{Cost: j.Cost})
+	queue.Release(c, wigeonladder.Usage{Cost: j.Cost})
+	r.count(wigeonladder.CodeOK)
+}
+
+// sleep waits, unless the daemon dies first.
+func (r *rig) sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// begin counts a request that starts at a server.
+func (r *rig) begin(c wigeonladder.Contract) {
+	r.mu.Lock()
+	r.running[c.Server]++
+	n := r.running[c.Server]
+	r.peak[c.Server] = max(r.peak[c.Server], n)
+	r.mu.Unlock()
+	if limit := r.slots(c.Server); !r.faulty.Load() && n > limit {
+		r.fail("%s runs %d of %d", c.Server, n, limit)
+	}
+}
+
+// slots returns the limit of a server.
+func (r *rig) slots(server string) int {
+	for _, s := range r.config.Register.Services[0].Servers {
+		if s.Name == server {
+			return s.Slots
+		}
+	}
+	return 0
+}
+
+// count counts an outcome.
+func (r *rig) count(c wigeonladder.Code) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.codes[c]++
+}
+
+// watch checks the ledgers and queues each millisecond.
+func (r *rig) watch() {
+	t := time.NewTicker(time.Millisecond)
+	defer t.Stop()
+	for {
+		select {
+		case <-r.root.Done():
+			return
+		case <-t.C:
+			r.check()
+		}
+	}
+}
+
+// check tests the invariants of every live daemon at one moment.
+func (r *rig) check() {
+	waits := map[string]bool{}
+	for _, d := range r.live() {
+		for _, w := range d.queue.Dump().Waiting {
+			waits[w.Model] = true
+		}
+	}
+	for _, d := range r.live() {
+		for _, s := range d.checkLedger() {
+			r.checkIdle(d, s, waits)
+		}
+	}
+}
+
+// live returns the daemons that run.
+func (r *rig) live() []*daemon {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var l []*daemon
+	for _, vm := range r.config.Register.VMs {
+		if d := r.daemons[vm.Name]; d.ctx != nil && d.ctx.Err() == nil {
+			l = append(l, d)
+		}
+	}
+	return l
+}
+
+// checkLedger tests that the slots of a ledger add up, and that no free slot
+// fits a demand that the home knows.
+func (d *daemon) checkLedger() []contract.ServerDump {
+	dump := d.ledger.Dump()
+	used := map[string]int{}
+	for _, c := range dump.Contracts {
+		used[c.Contract.Server]++
+	}
+	for _, s := range dump.Servers {
+		if used[s.Name] != s.InUse || s.InUse < 0 {
+			d.rig.fail("%s: %d contracts, %d slots in use", s.Name, used[s.Name], s.InUse)
+		}
+		for _, m := range dump.Demands {
+			if s.Free > 0 && m.Demand.Waiting > m.InFlight && d.rig.fits(s.Name, m.Demand.Model) && !d.closed() {
+				d.rig.fail("%s is free while %s knows demand %+v", s.Name, d.vm.Name, m)
+			}
+		}
+	}
+	return dump.Servers
+}
+
+// fits reports whether a server has a model.
+func (r *rig) fits(server, model string) bool {
+	for _, s := range r.config.Register.Services[0].Servers {
+		if s.Name == server {
+			return model == "" || slices.Contains(s.Models, model)
+		}
+	}
+	return false
+}
+
+// checkIdle tests that a slot is not free for long while work waits.
+func (r *rig) checkIdle(d *daemon, s contract.ServerDump, waits map[string]bool) {
+	for _, other := range r.live() {
+		if other.node.State(s.Name) == wigeonladder.StateLeaving {
+			return // those who know it no longer want it
+		}
+	}
+	wanted := false
+	for model := range waits {
+		wanted = wanted || (s.Free > 0 && r.fits(s.Name, model))
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := d.vm.Name + " " + s.Name
+	since, ok := r.idle[key]
+	switch {
+	case !wanted:
+		delete(r.idle, key)
+	case !ok:
+		r.idle[key] = time.Now()
+	case !r.idling.Load() && time.Since(since) > idleBound && len(r.bad) < 20:
+		r.bad = append(r.bad, fmt.Sprintf("%s was free for %v while work waited", key, time.Since(since)))
+		delete(r.idle, key)
+	}
+}
+
+// finish waits for the work and some time, and tests that nothing is left.
+func (r *rig) finish(after time.Duration) []string {
+	r.work.Wait()
+	time.Sleep(after)
+	r.check()
+	for _, d := range r.live() {
+		if l := d.ledger.Dump(); len(l.Contracts) > 0 || len(l.Demands) > 0 {
+			r.fail("%s is left with %d contracts, %d demands", d.vm.Name, len(l.Contracts), len(l.Demands))
+		}
+		if q := d.queue.Dump(); len(q.Held) > 0 || len(q.Waiting) > 0 {
+			r.fail("%s is left with %d contracts, %d requests", d.vm.Name, len(q.Held), len(q.Waiting))
+		}
+	}
+	r.stop()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.bad
+}
--- a/entry/view.go
+++ b/entry/view.go
@@ -125,10 +125,11 @@
 		}
 		q.dirtyAll()
 	}
+	due := q.settle(now)
 	q.prune(now)
 	q.mu.Unlock()
-	if moved {
-		q.renew()
+	if moved || due {
+		q.renew(!moved)
 	}
 }
 
--- a/fake/fleet.go
+++ b/fake/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -24,6 +25,9 @@
 	nodes map[string]*Node
 	cut   map[[2]string]bool
 	sent  map[string]int
+	// loss is the probability that a message is lost.
+	loss   float64
+	random *rand.Rand
 }
 
 // NewLinks returns links with a one-way delay between different daemons.
@@ -64,6 +68,22 @@
 	l.cut[[2]string{b, a}] = cut
 }
 
+// Lose loses each message between different daemons with a probability, by a
+// sequence of choices that the seed fixes.
+func (l *Links) Lose(loss float64, seed uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loss = loss
+	l.random = rand.New(rand.NewPCG(seed, seed))
+}
+
+// loses chooses whether one message is lost.
+func (l *Links) loses() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.loss > 0 && l.random.Float64() < l.loss
+}
+
 // Down stops or starts a daemon as the others see it.
 func (l *Links) Down(vm string, down bool) {
 	l.mu.Lock()
@@ -105,7 +125,7 @@
 		return ctx.Err()
 	case <-t.C:
 	}
-	if !l.reaches(from, to) {
+	if !l.reaches(from, to) || l.loses() {
 		return ErrCut
 	}
 	return nil
