--- a/fake/relay.go
+++ b/fake/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -146,7 +147,7 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
+			if !errors.Is(err, io.EOF) {
 				_ = to.Close()
 			}
 			return
--- a/standin/call.go
+++ b/standin/call.go
@@ -60,7 +60,7 @@
 }
 
 // add counts one reply.
-func (t *Tally) add(r Reply, err error, want string) {
+func (t *Tally) add(r Reply, want string, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r.Request != "" {
@@ -96,7 +96,7 @@
 	for range max(1, c.Parallel) {
 		all.Go(func() {
 			for n := range numbers {
-				r, err, want := c.send(ctx, caller, n)
+				r, want, err := c.send(ctx, caller, n)
 				t.add(r, err, want)
 			}
 		})
@@ -113,19 +113,19 @@
 }
 
 // send sends request number n, again if the caller is patient.
-func (c Calls) send(ctx context.Context, caller *Caller, n int) (r Reply, err error, want string) {
+func (c Calls) send(ctx context.Context, caller *Caller, n int) (r Reply, want string, err error) {
 	body, want := c.body(n)
 	for i := range maxRetries {
 		entry := c.Entries[(n+i)%len(c.Entries)]
 		r, err = c.once(ctx, caller, entry, body)
 		refused := r.Code != wigeonladder.CodeOK && r.Code.Fact().Outcome == wigeonladder.NotRun
 		unreached := err != nil && r.Status == 0 && strings.Contains(err.Error(), "refused")
-		if !c.Retry || !(refused || unreached) || ctx.Err() != nil {
-			return r, err, want
+		if !c.Retry || !refused && !unreached || ctx.Err() != nil {
+			return r, want, err
 		}
 		time.Sleep(retryPause)
 	}
-	return r, err, want
+	return r, want, err
 }
 
 func (c Calls) once(ctx context.Context, caller *Caller, entry string, body []byte) (Reply, error) {
