--- a/standin/call.go
+++ b/standin/call.go
@@ -97,7 +97,7 @@
 		all.Go(func() {
 			for n := range numbers {
 				r, want, err := c.send(ctx, caller, n)
-				t.add(r, err, want)
+				t.add(r, want, err)
 			}
 		})
 	}
