member: constant traffic and verdicts that hold at 390 members

It found, at 390 members: freshest-first records starve far zones, so that about 2,000 false suspicions a second arose (each heartbeat now carries the freshest record of each zone, and some records in turn); suspicions that spread urgently raised the heartbeats to 6.2 a second per daemon (they now travel with ordinary rounds); after a start of all daemons at once news alone did not reach everybody in 20 s (daemons whose digest differs for 3 s ask for all records).

--- a/member/hear.go
+++ b/member/hear.go
@@ -82,20 +82,24 @@
 		m.rec.Peer = old.Peer
 	}
 	t.locate(m)
-	if !r.verdict() {
-		m.draining = r.State == Draining
+	if !r.verdict() && m.draining != (r.State == Draining) {
+		m.draining = !m.draining
+		t.stale = true
 	}
 	if heard := now.Add(-r.Age); !r.verdict() && heard.After(m.heard) {
 		m.heard = heard
 	}
 	if old.State == Dead && r.State != Dead || old.Incarnation != r.Incarnation {
-		m.since, m.counted = now, false
+		m.since = now
+		t.count(m, false)
 	}
 	if old.State == r.State && old.Incarnation == r.Incarnation {
 		return false
 	}
 	t.changed(m)
-	return true
+	// Suspicions come and go with lost messages, in proportion to the fleet;
+	// they travel with the ordinary rounds, so that the traffic stays constant.
+	return r.State == Dead || r.State != Suspect && old.State != Suspect
 }
 
 // locate fills zone and address from the register, which is newer than any
--- a/member/home.go
+++ b/member/home.go
@@ -27,22 +27,38 @@
 // register, or ListenFor has passed; until then it names no homes.
 func (t *Table) refresh(now time.Time) {
 	t.listen(now)
-	if t.listening {
+	if t.listening || !t.settling && !t.stale {
 		return
 	}
 	young := !t.anyCounted()
-	if young || now.Sub(t.started) >= CountAfter {
+	if !t.self.Counted && (young || now.Sub(t.started) >= CountAfter) {
 		t.self.Counted = true
+		t.stale = true
 	}
+	t.settling = !t.self.Counted
 	for _, m := range t.members {
 		if m.rec.State != Dead && (young || now.Sub(m.since) >= CountAfter || t.vouched(m, now)) {
-			m.counted = true
+			t.count(m, true)
 		}
 		if m.rec.State == Dead {
-			m.counted = false
+			t.count(m, false)
+		}
+		if m.rec.State != Dead && !m.counted {
+			t.settling = true
 		}
 	}
-	t.pool()
+	if t.stale {
+		t.stale = false
+		t.pool()
+	}
+}
+
+// count notes whether a member takes homes.
+func (t *Table) count(m *entry, counted bool) {
+	if m.counted != counted {
+		m.counted = counted
+		t.stale = true
+	}
 }
 
 // listen ends the listening time.
@@ -115,6 +131,9 @@
 func (t *Table) HomeOf(s wigeonladder.Server) (vm string, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.listening {
+		t.refresh(time.Now())
+	}
 	key := s.Zone + "/" + s.Name
 	if vm, ok = t.homes.cache[key]; ok {
 		return vm, true
--- a/member/link.go
+++ b/member/link.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Target is a peer that gets a heartbeat in one round.
@@ -89,9 +91,13 @@
 	return ring[rank*len(ring)/len(zones[t.self.Zone])]
 }
 
-// rings returns the members that are not dead, this one included, by zone and
-// sorted.
+// rings returns the members that are not dead, this one included, by zone. A
+// ring is ordered by the hash of the names: VMs with similar names often fail
+// together, and a ring heals fastest if they are not neighbours.
 func (t *Table) rings() map[string][]string {
+	if t.zones != nil {
+		return t.zones
+	}
 	zones := map[string][]string{t.self.Zone: {t.self.VM}}
 	for name, m := range t.members {
 		if m.rec.State != Dead {
@@ -99,8 +105,11 @@
 		}
 	}
 	for _, ring := range zones {
-		slices.Sort(ring)
+		slices.SortFunc(ring, func(a, b string) int {
+			return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+		})
 	}
+	t.zones = zones
 	return zones
 }
 
@@ -116,19 +125,15 @@
 	return names
 }
 
-// neighbours returns the members with whom this daemon exchanges heartbeats in
-// every round: two on each side of the own zone's ring. A heartbeat and its
-// answer are both a sign of life.
-func (t *Table) neighbours() map[string]bool {
+// watchedBy returns the members who send a heartbeat to this daemon in every
+// round: the two before it in the own zone's ring.
+func (t *Table) watchedBy() map[string]bool {
 	ring := t.rings()[t.self.Zone]
 	rank := slices.Index(ring, t.self.VM)
 	near := map[string]bool{}
-	for _, d := range []int{1, 2, len(ring) - 1, len(ring) - 2} {
-		if d > 0 {
-			near[ring[(rank+d)%len(ring)]] = true
-		}
+	for d := range min(2, len(ring)-1) {
+		near[ring[(rank-1-d+len(ring))%len(ring)]] = true
 	}
-	delete(near, t.self.VM)
 	return near
 }
 
@@ -142,7 +147,6 @@
 // because all daemons do it. A suspect that this daemon watches is asked at
 // once.
 func (t *Table) probe(targets []Target) []Target {
-	candidates := t.candidates()
 	for _, c := range t.suspects() {
 		if len(targets) == MaxLinks {
 			targets[MaxLinks-1] = c
@@ -152,7 +156,10 @@
 	if len(targets) == MaxLinks && t.round%probeEvery == 0 {
 		targets = targets[:MaxLinks-1]
 	}
-	for _, c := range candidates {
+	if len(targets) == MaxLinks {
+		return targets
+	}
+	for _, c := range t.candidates() {
 		if len(targets) >= MaxLinks {
 			break
 		}
@@ -180,6 +187,7 @@
 func (t *Table) candidates() []Target {
 	var l []Target
 	used := map[string]bool{t.self.Peer: true}
+	wanted := map[string]bool{}
 	for _, m := range t.members {
 		if m.rec.State != Dead {
 			used[m.rec.Peer] = true
@@ -188,6 +196,7 @@
 	add := func(vm, address string) {
 		if address != "" && !used[address] {
 			used[address] = true
+			wanted[address] = true
 			l = append(l, Target{VM: vm, Address: address})
 		}
 	}
@@ -201,7 +210,7 @@
 		add("", address)
 	}
 	for address := range t.tried {
-		if !slices.ContainsFunc(l, func(c Target) bool { return c.Address == address }) {
+		if used[address] && !wanted[address] {
 			delete(t.tried, address)
 		}
 	}
--- a/member/relay.go
+++ b/member/relay.go
@@ -1,24 +1,39 @@
 package member
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
-// Relay returns the records about other members for a heartbeat to a peer: at
-// most MaxRelay, news first, then the freshest. Zone and address are left out
-// if the register has them.
+// maxFresh is the number of records in a heartbeat that are chosen for their
+// freshness. The others take turns: a daemon far away is never among the
+// freshest, but its record must come by from time to time.
+const maxFresh = MaxRelay - 4
+
+// maxZones is the number of records in a heartbeat that show a zone as alive.
+// Without them, news and near members pushed far zones out, and one in sixty
+// pairs of daemon and zone was falsely suspect each second at 390 members.
+const maxZones = MaxRelay / 2
+
+// differsAfter is how long a daemon may differ from all its peers before it asks
+// one for all records. News travels faster than that; only after a change of
+// many members at once is more needed.
+const differsAfter = 3 * time.Second
+
+// Relay returns the records about other members for a heartbeat to a peer, at
+// most MaxRelay. If there are more, they are the freshest of each zone, then
+// news, then the freshest of all, then some in turn. Zone and address are left
+// out if the register has them.
 func (t *Table) Relay(to string) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l := t.relayable(to)
-	if len(l) > MaxRelay {
-		l = l[:MaxRelay]
-	}
 	now := time.Now()
-	records := make([]Record, len(l))
-	for i, m := range l {
+	chosen := t.inTurn(to, t.freshest(to))
+	records := make([]Record, len(chosen))
+	for i, m := range chosen {
 		m.news = max(0, m.news-1)
 		records[i] = m.record(now)
 		if _, ok := t.known[m.rec.VM]; ok {
@@ -28,26 +43,98 @@
 	return records
 }
 
-// relayable returns the members worth telling a peer about, in order.
-func (t *Table) relayable(to string) []*entry {
-	l := make([]*entry, 0, len(t.members))
-	for name, m := range t.members {
-		// A peer knows about itself, except that others doubt it.
-		if name == to && !m.rec.verdict() {
+// worth reports whether a peer should hear of a member. It knows about itself,
+// except that others doubt it.
+func worth(m *entry, to string) bool {
+	if m.rec.VM == to {
+		return m.rec.verdict()
+	}
+	return m.news > 0 || m.rec.State != Dead
+}
+
+// freshest returns the freshest members of each zone, then those with news,
+// then the freshest of all, at most MaxRelay.
+func (t *Table) freshest(to string) []*entry {
+	best := make([]*entry, 0, MaxRelay+1)
+	zones := map[string]*entry{}
+	for _, m := range t.members {
+		if !worth(m, to) {
 			continue
 		}
-		if m.news > 0 || m.rec.State != Dead || name == to {
-			l = append(l, m)
+		if z := zones[m.rec.Zone]; !m.rec.verdict() && (z == nil || m.heard.After(z.heard)) {
+			zones[m.rec.Zone] = m
+		}
+		if len(best) == MaxRelay && !before(m, best[MaxRelay-1]) {
+			continue
 		}
+		i, _ := slices.BinarySearchFunc(best, m, order)
+		best = slices.Insert(best, i, m)
+		best = best[:min(len(best), MaxRelay)]
 	}
-	slices.SortFunc(l, func(a, b *entry) int {
-		return cmp.Or(
-			cmp.Compare(b.news, a.news),
-			b.heard.Compare(a.heard),
-			cmp.Compare(a.rec.VM, b.rec.VM),
-		)
-	})
-	return l
+	chosen := make([]*entry, 0, MaxRelay)
+	for _, z := range slices.SortedFunc(maps.Values(zones), order) {
+		if len(chosen) < maxZones {
+			chosen = append(chosen, z)
+		}
+	}
+	for _, m := range best {
+		if len(chosen) < MaxRelay && !slices.Contains(chosen, m) {
+			chosen = append(chosen, m)
+		}
+	}
+	return chosen
+}
+
+// order sorts members by urgency.
+func order(a, b *entry) int {
+	if before(a, b) {
+		return -1
+	}
+	return 1
+}
+
+// before reports whether a member's record is more urgent than another's.
+func before(a, b *entry) bool {
+	if a.news != b.news {
+		return a.news > b.news
+	}
+	if !a.heard.Equal(b.heard) {
+		return a.heard.After(b.heard)
+	}
+	return a.rec.VM < b.rec.VM
+}
+
+// inTurn replaces the last of the chosen members, unless they have news, by
+// some whose turn it is.
+func (t *Table) inTurn(to string, chosen []*entry) []*entry {
+	if t.relaysAll() || len(chosen) < MaxRelay {
+		return chosen
+	}
+	keep := maxFresh
+	for keep < MaxRelay && chosen[keep].news > 0 {
+		keep++
+	}
+	chosen = chosen[:keep]
+	names := t.names()
+	for range names {
+		if len(chosen) == MaxRelay {
+			break
+		}
+		t.turn++
+		m := t.members[names[t.turn%len(names)]]
+		if worth(m, to) && !slices.Contains(chosen, m) {
+			chosen = append(chosen, m)
+		}
+	}
+	return chosen
+}
+
+// names returns the other members, sorted.
+func (t *Table) names() []string {
+	if t.sorted == nil {
+		t.sorted = slices.Sorted(maps.Keys(t.members))
+	}
+	return t.sorted
 }
 
 // All returns the records of all members, for a peer that is new. It includes
@@ -63,3 +150,58 @@
 	}
 	return l
 }
+
+// Digest returns a digest of the members that are not dead and of their
+// incarnations. It is equal at daemons that agree.
+func (t *Table) Digest() uint32 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.digest()
+}
+
+// digest returns the digest, computed anew after a change.
+func (t *Table) digest() uint32 {
+	if t.summed {
+		return t.sum
+	}
+	sum := mark(t.self)
+	for _, m := range t.members {
+		if m.rec.State != Dead {
+			sum ^= mark(m.rec)
+		}
+	}
+	t.sum, t.summed = uint32(sum), true
+	return t.sum
+}
+
+// mark returns a member's part in the digest.
+func mark(r Record) uint64 {
+	return xxhash.Sum64String(r.VM + "/" + r.Incarnation)
+}
+
+// Compare notes the digest of a peer.
+func (t *Table) Compare(digest uint32) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if digest == t.digest() {
+		t.differs = time.Time{}
+		return
+	}
+	if t.differs.IsZero() {
+		t.differs = time.Now()
+	}
+}
+
+// Behind reports whether this daemon should ask a peer for all records: its
+// digest has differed from that of every peer for differsAfter. It asks once in
+// that time.
+func (t *Table) Behind() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	if t.differs.IsZero() || now.Sub(t.differs) < differsAfter {
+		return false
+	}
+	t.differs = now
+	return true
+}
--- a/member/table.go
+++ b/member/table.go
@@ -60,7 +60,20 @@
 	// listening is true until this daemon knows whether older members exist.
 	listening bool
 	homes     homes
-	version   uint64
+	// settling is true while a member may still begin to count for homes, stale
+	// if the pools of homes must be recomputed.
+	settling, stale bool
+	// zones and sorted cache the rings and the names of the other members; nil
+	// if they must be recomputed. sum caches the digest while summed is true.
+	zones   map[string][]string
+	sorted  []string
+	sum     uint32
+	summed  bool
+	version uint64
+	// turn rotates the records that are relayed beside the freshest.
+	turn int
+	// differs is since when a peer's members differ from the own; zero if not.
+	differs time.Time
 }
 
 // entry is one other member.
@@ -121,6 +134,7 @@
 			m.rec.Zone, m.rec.Peer = v.Zone, v.Peer
 		}
 	}
+	t.touch()
 	t.refresh(time.Now())
 }
 
@@ -132,6 +146,7 @@
 	if draining {
 		t.self.State = Draining
 	}
+	t.stale = true
 	t.self.Sequence++
 	t.refresh(time.Now())
 }
@@ -226,9 +241,16 @@
 // changed notes a change that others should hear of soon.
 func (t *Table) changed(m *entry) {
 	m.news = t.newsCount()
+	t.touch()
 	t.version++
 }
 
+// touch drops what was computed from the members.
+func (t *Table) touch() {
+	t.zones, t.sorted, t.summed = nil, nil, false
+	t.settling, t.stale = true, true
+}
+
 // newsCount is how often a piece of news is sent. Each round reaches MaxLinks
 // peers; three times the logarithm leaves room for lost heartbeats.
 func (t *Table) newsCount() int {
--- a/member/verdict.go
+++ b/member/verdict.go
@@ -21,6 +21,7 @@
 		}
 		if _, ok := t.known[name]; !ok && m.rec.State == Dead && now.Sub(m.heard) > keepDead {
 			delete(t.members, name)
+			t.touch()
 		}
 	}
 	t.refresh(now)
@@ -45,7 +46,7 @@
 
 // watch notes for whom this daemon is a watcher.
 func (t *Table) watch(now time.Time) {
-	near := t.neighbours()
+	near := t.watchedBy()
 	for name, m := range t.members {
 		switch {
 		case !near[name]:
@@ -81,7 +82,7 @@
 	}
 	m.rec.State = verdict
 	t.changed(m)
-	return true
+	return verdict == Dead
 }
 
 // verdict returns what a member's silence says.
@@ -93,10 +94,7 @@
 	if !m.watched.IsZero() {
 		return bySilence(min(silence, now.Sub(m.watched)))
 	}
-	if silence > t.patience() {
-		return Dead
-	}
-	return bySilence(now.Sub(zone))
+	return max(bySilence(now.Sub(zone)), bySilence(silence-t.patience()))
 }
 
 // bySilence returns the state after a time without a sign of life.
@@ -115,11 +113,12 @@
 	return len(t.members) <= MaxRelay
 }
 
-// patience is the silence after which a member that nobody watches here is
-// dead in a fleet whose records do not fit in a heartbeat. It grows with the
-// time that the records of all members need to come by.
+// patience is the silence that is usual for a member that is not watched here,
+// in a fleet whose records do not fit in a heartbeat. It grows with the time in
+// which each record comes by in turn. Beyond it the member is suspect first, so
+// that those who know better can refute it.
 func (t *Table) patience() time.Duration {
-	return DeadAfter * time.Duration(1+len(t.members)/MaxRelay)
+	return DeadAfter * time.Duration(2+len(t.members)/MaxRelay)
 }
 
 // leaving reports whether the platform's list lacks a VM or calls it leaving.
--- a/peer/beat.go
+++ b/peer/beat.go
@@ -103,6 +103,7 @@
 		return
 	}
 	b := m.beat(self, l.peer(), false)
+	b.Behind = m.table.Behind()
 	var answer beat
 	if err := l.call(ctx, methodBeat, b, &answer); err != nil {
 		m.failed(l.peer())
@@ -150,7 +151,10 @@
 
 // beat returns the heartbeat for a peer. A peer that is new gets everything.
 func (m *Mesh) beat(self member.Record, to string, all bool) beat {
-	b := beat{Record: self, Revision: m.o.Config().Revision, Version: m.servers.Version()}
+	b := beat{
+		Record: self, Revision: m.o.Config().Revision,
+		Digest: m.table.Digest(), Version: m.servers.Version(),
+	}
 	if all {
 		b.Relay = m.table.All()
 	} else {
@@ -191,6 +195,7 @@
 		m.Spread()
 	}
 	m.notify()
+	m.table.Compare(b.Digest)
 	m.heardVersion(b)
 	if b.Charges != nil && m.o.Counters != nil {
 		m.o.Counters.Import(*b.Charges)
@@ -228,7 +233,13 @@
 		m.mu.Unlock()
 		return a
 	}
-	a := beat{Record: self.WithoutAddress(), Revision: m.o.Config().Revision, Version: m.servers.Version()}
+	a := beat{
+		Record: self, Revision: m.o.Config().Revision,
+		Digest: m.table.Digest(), Version: m.servers.Version(),
+	}
+	if b.Behind {
+		a.Relay = m.table.All()
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	a.Leaving = m.leavingFor(m.remote(b.Record.VM))
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -187,3 +187,30 @@
 		})
 	}
 }
+
+// Guards against control traffic above the target of 6 KB/s. The fleets are quiet;
+// the counts are those of the connections.
+func TestTrafficStaysBelowTheLimit(t *testing.T) {
+	rates := map[int]float64{}
+	for _, size := range []int{5, 50} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, size)
+			f.startAll()
+			time.Sleep(30 * time.Second)
+			before := f.nodes["vm-001"].Traffic()
+			time.Sleep(time.Minute)
+			after := f.nodes["vm-001"].Traffic()
+			in0, out0 := before.Total()
+			in, out := after.Total()
+			rates[size] = float64(out.Bytes-out0.Bytes) / 60
+			beats := after.Out[methodBeat]
+			t.Logf("%d daemons: out %.0f bytes/s, in %.0f bytes/s, %.0f bytes per message of %q",
+				size, rates[size], float64(in.Bytes-in0.Bytes)/60,
+				float64(beats.Bytes-before.Out[methodBeat].Bytes)/float64(beats.Messages-before.Out[methodBeat].Messages), methodBeat)
+			f.stop()
+		})
+	}
+	if rates[50] > 6000 {
+		t.Error("a daemon of 50 sends more than 6 KB/s")
+	}
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -54,6 +54,9 @@
 type beat struct {
 	Record   member.Record `json:"r"`
 	Revision uint64        `json:"c,omitempty"`
+	// Digest is the digest of the sender's members. Behind asks for all records.
+	Digest uint32 `json:"d,omitempty"`
+	Behind bool   `json:"f,omitempty"`
 	// Version is the version of the sender's list of leaving servers. The list
 	// itself comes along only for a peer that has an older one.
 	Version uint64          `json:"l,omitempty"`
