--- /dev/null
+++ b/peer/size_test.go
@@ -0,0 +1,40 @@
+package peer
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// Reports the bytes of each kind of message on the connection, request and
+// answer; guards against a call that is not counted.
+func TestMessageSizes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		f.startAll()
+		f.within(5*time.Second, "all known", f.agree)
+		a := f.nodes["vm-000"]
+		close(f.nodes["vm-001"].block)
+		home, entry := a.Home("vm-001"), a.Entry("vm-001")
+		k := wigeonladder.Contract{ID: wigeonladder.ContractID{Home: "01234567", Number: 12345}, Server: "engine-12", Service: "nib-scribe", Workspace: "workspace-7", Entry: "vm-000", Estimate: 900}
+		d := wigeonladder.Demand{Service: k.Service, Workspace: k.Workspace, Waiting: 3, Urgency: 1, Oldest: 120, Estimate: 900}
+		_, _ = home.Ask(t.Context(), wigeonladder.Ask{Entry: k.Entry, Demand: d})
+		_ = home.Demand(t.Context(), wigeonladder.DemandReport{Entry: k.Entry, Demands: []wigeonladder.Demand{d}})
+		_ = home.Renew(t.Context(), wigeonladder.Renewal{Entry: k.Entry, Held: []wigeonladder.Held{{Contract: k, Cost: 55}}})
+		_ = home.Release(t.Context(), []wigeonladder.Release{{ID: k.ID, Usage: wigeonladder.Usage{Cost: 950}}})
+		_ = entry.Grant(t.Context(), []wigeonladder.Contract{k})
+		_ = entry.Recall(t.Context(), []wigeonladder.ContractID{k.ID})
+		_, _ = a.Holds(t.Context(), "vm-001", k.Server)
+		_, _ = a.Forward(t.Context(), "vm-001", "i", wigeonladder.Request{Path: "/x", Ticket: "vm:i:1:abc", Body: make([]byte, 100)})
+		out, in := a.Traffic().Out, a.Traffic().In
+		for _, method := range []string{methodAsk, methodDemand, methodRenew, methodRelease, methodGrant, methodRecall, methodHolds, methodTicket} {
+			t.Logf("%s: request %d bytes, answer %d bytes", method, out[method].Bytes, in[method].Bytes)
+			if out[method].Messages != 1 || in[method].Messages != 1 {
+				t.Errorf("%s: %d sent, %d received, want 1 each", method, out[method].Messages, in[method].Messages)
+			}
+		}
+		f.stop()
+	})
+}
--- /dev/null
+++ b/peer/trust_test.go
@@ -0,0 +1,26 @@
+package peer
+
+import (
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// Guards against links from addresses outside the register, and against a
+// fleet that cannot start before it has one.
+func TestTrust(t *testing.T) {
+	is := is.New(t)
+	var c wigeonladder.Config
+	m := &Mesh{o: Options{Seeds: []string{"10.0.0.9:1"}, Config: func() wigeonladder.Config { return c }}}
+	trusts := func(ip string) bool { return m.trusts(&net.TCPAddr{IP: net.ParseIP(ip), Port: 5}) }
+	is.True(trusts("10.0.0.7"))
+	c.Revision = 1
+	c.Register.VMs = []wigeonladder.VM{{Name: "a", Peer: "10.0.0.1:7000"}}
+	is.True(trusts("10.0.0.1"))
+	is.True(trusts("10.0.0.9"))
+	is.True(!trusts("10.0.0.7"))
+	is.True(!trusts("::1"))
+}
