--- a/fake/relay.go
+++ b/fake/relay.go
@@ -105,7 +105,7 @@
 // forward connects one source to the target. It dials from the source's IP
 // address, so that the target sees who calls.
 func (r *Relay) forward(from net.Conn) {
-	defer from.Close()
+	defer func() { _ = from.Close() }()
 	source := hostOf(from.RemoteAddr())
 	if !r.wait(source) {
 		return
@@ -115,7 +115,7 @@
 	if err != nil {
 		return
 	}
-	defer to.Close()
+	defer func() { _ = to.Close() }()
 	if !r.track(from, to) {
 		return
 	}
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -139,7 +139,7 @@
 	if err != nil {
 		return Reply{Total: time.Since(start)}, err
 	}
-	defer a.Body.Close()
+	defer func() { _ = a.Body.Close() }()
 	r := Reply{Status: a.StatusCode, Request: a.Header.Get("X-Request-Id")}
 	r.RetryAfter, _ = strconv.Atoi(a.Header.Get("Retry-After"))
 	if n, err := strconv.Atoi(a.Header.Get("X-Result-Code")); err == nil {
