--- /dev/null
+++ b/contract/bench_test.go
@@ -0,0 +1,120 @@
+package contract
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/fake"
+)
+
+// alone is a fleet of one daemon whose entry takes every contract. It has no
+// links, so that the benchmark measures the ledger only.
+type alone struct{}
+
+func (alone) Self() string                              { return "home" }
+func (alone) HomeOf(wigeonladder.Server) (string, bool) { return "home", true }
+func (alone) Home(string) wigeonladder.Home             { return nil }
+func (alone) Entry(string) wigeonladder.Entry           { return &recorder{} }
+func (alone) Members() []string                         { return []string{"home"} }
+func (alone) State(string) wigeonladder.State           { return wigeonladder.StateLive }
+
+// sized returns a ledger of 13 servers and 15 workspaces times a factor, with
+// all slots lent and all workspaces backlogged.
+func sized(b *testing.B, factor int) (*Ledger, []wigeonladder.Contract) {
+	service := wigeonladder.Service{Name: "desk"}
+	for i := range 13 * factor {
+		s := wigeonladder.Server{Name: fmt.Sprint("s", i), Slots: 8, Models: []string{"base"}}
+		service.Servers = append(service.Servers, s)
+	}
+	config := wigeonladder.Config{Register: wigeonladder.Register{Services: []wigeonladder.Service{service}}}
+	l := NewLedger(b.Context(), Options{
+		Fleet: alone{}, Shares: fake.NewShares(), Incarnation: "home/1",
+		Config:  func() wigeonladder.Config { return config },
+		Limiter: func(s wigeonladder.Server) wigeonladder.Limiter { return fake.FixedLimit(s.Slots) },
+	})
+	var rows []wigeonladder.Held
+	for _, s := range service.Servers {
+		rows = append(rows, wigeonladder.Held{Contract: wigeonladder.Contract{Server: s.Name}})
+	}
+	check(b, l.Renew(b.Context(), wigeonladder.Renewal{Entry: "home", Held: rows}))
+	var held []wigeonladder.Contract
+	for range 13 * factor * 8 {
+		o, err := l.Ask(b.Context(), wigeonladder.Ask{Entry: "home", Demand: row(len(held)%(15*factor), 1)})
+		check(b, err)
+		held = append(held, o.Contract)
+	}
+	var report wigeonladder.DemandReport
+	report.Entry = "home"
+	for i := range 15 * factor {
+		report.Demands = append(report.Demands, row(i, 1<<30))
+	}
+	check(b, l.Demand(b.Context(), report))
+	return l, held
+}
+
+// row is the demand of one workspace.
+func row(workspace, waiting int) wigeonladder.Demand {
+	return wigeonladder.Demand{
+		Service: "desk", Workspace: fmt.Sprint("w", workspace), Waiting: waiting, Estimate: 10, Model: "base",
+	}
+}
+
+// check fails the benchmark on an error.
+func check(b *testing.B, err error) {
+	b.Helper()
+	if err != nil {
+		b.Fatal(err)
+	}
+}
+
+// BenchmarkDecision measures one release and the grant that follows it, with
+// all workspaces backlogged. It guards against a cost that grows faster than
+// the logarithm of workspaces and servers.
+func BenchmarkDecision(b *testing.B) {
+	for _, factor := range []int{1, 10, 100} {
+		b.Run(fmt.Sprint("x", factor), func(b *testing.B) {
+			l, held := sized(b, factor)
+			next := make(chan wigeonladder.Contract, len(held))
+			for _, c := range held {
+				next <- c
+			}
+			p := l.pools["desk"]
+			b.ResetTimer()
+			for range b.N {
+				c := <-next
+				l.mu.Lock()
+				t := l.leases[c.ID]
+				l.settle(t, wigeonladder.Release{ID: c.ID, Usage: wigeonladder.Usage{Cost: 12}})
+				l.free(t)
+				var out outbox
+				l.dispatch(p, &out)
+				for _, g := range out.grants["home"] {
+					l.arrived(g, true)
+					next <- g.contract
+				}
+				l.mu.Unlock()
+			}
+		})
+	}
+}
+
+// BenchmarkAsk measures one ask and its release without backlog.
+func BenchmarkAsk(b *testing.B) {
+	for _, factor := range []int{1, 10, 100} {
+		b.Run(fmt.Sprint("x", factor), func(b *testing.B) {
+			l, held := sized(b, factor)
+			check(b, l.Demand(b.Context(), wigeonladder.DemandReport{Entry: "home", Full: true}))
+			for _, c := range held[:len(held)/2] {
+				check(b, l.Release(b.Context(), []wigeonladder.Release{{ID: c.ID}}))
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				o, err := l.Ask(context.Background(), wigeonladder.Ask{Entry: "home", Demand: row(i%(15*factor), 1)})
+				check(b, err)
+				check(b, l.Release(context.Background(), []wigeonladder.Release{{ID: o.Contract.ID}}))
+			}
+		})
+	}
+}
--- a/entry/place.go
+++ b/entry/place.go
@@ -188,9 +188,12 @@
 	return a
 }
 
-// CodeOf returns the result code of an error of Place; an error without one
-// counts as "may have run".
+// CodeOf returns the result code of an error of Place or Check, CodeOK for nil.
+// An error without a code gives an unknown one, which counts as "may have run".
 func CodeOf(err error) wigeonladder.Code {
+	if err == nil {
+		return wigeonladder.CodeOK
+	}
 	var e *wigeonladder.Error
 	if errors.As(err, &e) {
 		return e.Code
