--- a/demo/measure.go
+++ b/demo/measure.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"context"
 	"errors"
 	"sync"
 	"time"
@@ -208,7 +209,8 @@
 	var e *wigeonladder.Error
 	switch {
 	case !t.counts:
-	case t.recorder.over(time.Now()):
+	case t.recorder.over(time.Now()), errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		// The run ended before the request.
 		t.book.unended++
 	case err == nil:
 		t.book.served++
