fair: service by another home keeps the deficit of a workspace

A workspace that waits at another home lost what it was behind at each wait here after a pause of more than 2 s: 1000 of service by weight became 0 in TestWaitElsewhereKeepsDeficit. A home cannot see the demand of others, but it hears of the service.

--- a/fair/counters.go
+++ b/fair/counters.go
@@ -10,8 +10,8 @@
 const (
 	// idleDrop is the idle time after which old debt is dropped.
 	idleDrop = 10 * time.Second
-	// deficitKeep is how long a workspace that stopped waiting keeps the
-	// deficit that it had. It covers two exchanges, so that a short gap in the
+	// deficitKeep is how long a workspace that neither waits nor is served keeps
+	// the deficit that it had. It covers two exchanges, so that a short gap in the
 	// demand that one home knows of does not cost a workspace its turn.
 	deficitKeep = 2 * time.Second
 	// calmAfter is the time without any waiting work after which nobody is
--- a/fair/peer_test.go
+++ b/fair/peer_test.go
@@ -217,3 +217,25 @@
 	is.Equal(find(list[0], "w2").E, 1010.0)
 	is.Equal(find(list[0], "w0").Assumed, 80000.0)
 }
+
+// Guards against a workspace that waits at another home losing, at each short
+// wait here, what it is behind.
+func TestWaitElsewhereKeepsDeficit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		list := homes(2, Options{})
+		a, b := list[0], list[1]
+		a.Charge(model, "w0", 1000) // w1 is 1000 behind
+		for range 20 {
+			a.Backlog(model, "w1", false)
+			for range 5 {
+				a.Charge(model, "w0", 100)
+				b.Charge(model, "w1", 100)
+				time.Sleep(time.Second)
+				exchange(list, func(int, int) bool { return true })
+			}
+			a.Backlog(model, "w1", true)
+			is.Equal(find(a, "w0").E-find(a, "w1").E, 1000.0)
+		}
+	})
+}
--- a/fair/row.go
+++ b/fair/row.go
@@ -92,11 +92,12 @@
 }
 
 // enter marks the row as backlogged. It gained no credit while it was away: it
-// starts at V, less its burst and the deficit that it had when it left.
+// starts at V, less its burst and the deficit that it had when it left. Service
+// by any home meanwhile shows that it was not idle, only not waiting here.
 func (r *row) enter(now time.Time) {
 	s := r.service
 	v := s.v()
-	if now.Sub(r.left) > deficitKeep {
+	if now.Sub(r.left) > deficitKeep && now.Sub(r.served) > deficitKeep {
 		r.deficit = 0
 	}
 	if r.idle(now) && r.e > v {
