--- a/caller/gone_test.go
+++ b/caller/gone_test.go
@@ -1,10 +1,12 @@
 package caller_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -17,7 +19,7 @@
 // dialRaw sends the bytes of a request on a connection of its own.
 func dialRaw(t *testing.T, r *rig, request string) net.Conn {
 	t.Helper()
-	c, err := net.Dial("tcp", r.url[len("http://"):])
+	c, err := net.Dial("tcp", r.caller.URL[len("http://"):])
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -42,7 +44,7 @@
 		t.Run(name, func(t *testing.T) {
 			waiting, ended := make(chan struct{}), make(chan error, 1)
 			r := newRig(t, fake.EngineOptions{}, func(r *rig, o *caller.Options) {
-				o.Runner = runner(func(ctx context.Context, q wigeonladder.Request, s wigeonladder.Sink) (wigeonladder.Usage, error) {
+				o.Runner = fake.Runner(func(ctx context.Context, q wigeonladder.Request, s wigeonladder.Sink) (wigeonladder.Usage, error) {
 					close(waiting)
 					<-ctx.Done()
 					u, err := r.run(ctx, q, s)
@@ -67,7 +69,7 @@
 func TestCallerGoneWhileStreaming(t *testing.T) {
 	ended := make(chan error, 1)
 	r := newRig(t, fake.EngineOptions{}, func(r *rig, o *caller.Options) {
-		o.Runner = runner(func(ctx context.Context, q wigeonladder.Request, s wigeonladder.Sink) (wigeonladder.Usage, error) {
+		o.Runner = fake.Runner(func(ctx context.Context, q wigeonladder.Request, s wigeonladder.Sink) (wigeonladder.Usage, error) {
 			u, err := r.run(ctx, q, s)
 			ended <- err
 			return u, err
@@ -86,20 +88,38 @@
 	waitFor(t, "no request is open", func() bool { return r.server.Open() == 0 })
 }
 
-// Guards against a watched connection losing bytes: requests that follow on
-// the same connection must be read whole.
+// Guards against answers that are lost, doubled or out of order on a connection
+// with several requests, sent at once or one after the other: streams are
+// written around the HTTP library.
 func TestConnectionIsReused(t *testing.T) {
 	r := newRig(t, fake.EngineOptions{}, nil)
-	one := rawRequest("/s/desk/status", "one")
-	c := dialRaw(t, r, one+one+one)
+	body := chatJSON("hello", 5, true)
+	plain, chat := rawRequest("/s/desk/status", "one"), rawRequest("/v1/chat/completions", body)
+	c := dialRaw(t, r, plain+chat+chat+plain)
 	defer c.Close()
+	in := bufio.NewReader(c)
+	wantPlain := func() { wantDesk(t, readReply(t, c, in), "POST", "/status", "one") }
+	wantChat := func() { wantAnswer(t, readReply(t, c, in), body) }
+	wantPlain()
+	wantChat()
+	wantChat()
+	wantPlain()
 	for range 3 {
-		readReply(t, c)
-	}
-	for range 3 {
-		_, err := c.Write([]byte(one))
+		_, err := c.Write([]byte(chat))
 		is.New(t).NoErr(err)
-		readReply(t, c)
+		wantChat()
+		_, err = c.Write([]byte(plain))
+		is.New(t).NoErr(err)
+		wantPlain()
 	}
-	is.New(t).Equal(r.desk.Runs(fake.RunKey("/status", []byte("one"))), 6)
+	is.New(t).Equal(r.desk.Runs(fake.RunKey("/status", []byte("one"))), 5)
+}
+
+// Guards against chunks that a caller of HTTP/1.0 cannot read.
+func TestStreamWithoutChunks(t *testing.T) {
+	r := newRig(t, fake.EngineOptions{}, nil)
+	body := chatJSON("hello", 5, true)
+	c := dialRaw(t, r, strings.Replace(rawRequest("/v1/chat/completions", body), "HTTP/1.1", "HTTP/1.0", 1))
+	defer c.Close()
+	wantAnswer(t, readReply(t, c, bufio.NewReader(c)), body)
 }
--- a/conn/conn.go
+++ b/conn/conn.go
@@ -10,12 +10,17 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
 // lingerLimit bounds the reading after a Close.
 const lingerLimit = time.Second
 
+// shortagePause is the time before accepting is tried again after a shortage.
+const shortagePause = 10 * time.Millisecond
+
 // Listener accepts connections that can be watched.
 type Listener struct {
 	net.Listener
@@ -31,9 +36,14 @@
 	return &Listener{Listener: l, writeLimit: writeLimit, open: map[*Conn]struct{}{}}
 }
 
-// Accept returns the next connection as a *Conn.
+// Accept returns the next connection as a *Conn. It outlasts a shortage, such as
+// of file descriptors, after which fasthttp would stop accepting for good.
 func (l *Listener) Accept() (net.Conn, error) {
 	n, err := l.Listener.Accept()
+	for err != nil && isShortage(err) {
+		time.Sleep(shortagePause)
+		n, err = l.Listener.Accept()
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -44,6 +54,16 @@
 	return c, nil
 }
 
+// isShortage reports whether accepting can succeed later.
+func isShortage(err error) bool {
+	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // Open returns the number of open connections.
 func (l *Listener) Open() int {
 	l.mu.Lock()
@@ -76,6 +96,7 @@
 	hasHeld bool
 	err     error
 	linger  bool
+	skip    atomic.Bool
 }
 
 // watch is one background read.
@@ -158,8 +179,35 @@
 	return c.Conn.Read(b)
 }
 
-// Write writes within the listener's write limit.
+// SkipResponse tells that the handler writes the response itself. It returns a
+// writer for it; what the server writes to the connection is dropped until
+// KeepResponse is called, at the start of the next request. The server must send
+// each response before it handles the next request.
+func (c *Conn) SkipResponse() io.Writer {
+	c.skip.Store(true)
+	return writer{c}
+}
+
+// KeepResponse ends the effect of SkipResponse.
+func (c *Conn) KeepResponse() { c.skip.Store(false) }
+
+// writer writes to a connection whose server is skipped.
+type writer struct{ c *Conn }
+
+// Write implements io.Writer.
+func (w writer) Write(b []byte) (int, error) { return w.c.write(b) }
+
+// Write writes within the listener's write limit, or drops the bytes after
+// SkipResponse.
 func (c *Conn) Write(b []byte) (int, error) {
+	if c.skip.Load() {
+		return len(b), nil
+	}
+	return c.write(b)
+}
+
+// write writes within the listener's write limit.
+func (c *Conn) write(b []byte) (int, error) {
 	if limit := c.listener.writeLimit; limit > 0 {
 		if err := c.Conn.SetWriteDeadline(time.Now().Add(limit)); err != nil {
 			return 0, err
