--- a/demo/report.go
+++ b/demo/report.go
@@ -35,8 +35,9 @@
 	// RetainedBy is the workspace with that part.
 	RetainedBy string
 	// Served, Refused and Failed count the requests that were first sent in
-	// the window. A refused request did not run.
-	Served, Refused, Failed int
+	// the window. A refused request did not run. Unended ones were open when
+	// the drain time was over.
+	Served, Refused, Failed, Unended int
 	// WorstWait is the longest wait of such a request until its answer began
 	// or it was refused, in time of the workload.
 	WorstWait time.Duration
@@ -52,6 +53,7 @@
 		rep.Served += b.served
 		rep.Refused += b.refused
 		rep.Failed += b.failed
+		rep.Unended += b.unended
 		rep.WorstWait = max(rep.WorstWait, b.worst)
 	}
 	if r.workload.Scale != 0 {
@@ -81,9 +83,9 @@
 // holds the lock.
 func (r *Recorder) window(service string) window {
 	w := window{recorder: r, service: service, books: map[string]*book{}}
-	w.first = int(r.workload.Warm/samplePeriod) - 1
+	w.first = int(r.workload.Warm / samplePeriod)
 	w.unit = int(r.workload.Unit / samplePeriod)
-	w.last = min(w.first+4*w.unit, r.samples-1)
+	w.last = min(w.first+4*w.unit, r.samples)
 	for k, b := range r.books {
 		if k.service == service {
 			w.books[k.workspace] = b
@@ -96,7 +98,7 @@
 func (w window) backlogged() []string {
 	var names []string
 	for name, b := range w.books {
-		if w.first < 0 || w.last >= len(b.rows) {
+		if w.last >= len(b.rows) {
 			continue
 		}
 		if !slices.ContainsFunc(b.rows[w.first+1:w.last+1], func(s sample) bool { return !s.backlogged }) {
@@ -110,7 +112,7 @@
 // gap returns the largest gap at a sample between two places.
 func (w window) gap(names []string, from, to int) float64 {
 	largest := 0.0
-	for i := max(from, 0); i <= to; i++ {
+	for i := from; i <= to; i++ {
 		low, high := math.Inf(1), math.Inf(-1)
 		for _, name := range names {
 			b := w.books[name]
