--- a/cmd/wigeonladder/serve.go
+++ b/cmd/wigeonladder/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"expvar"
 	"io"
 	"os"
 
@@ -43,6 +44,7 @@
 	if err != nil {
 		return err
 	}
+	expvar.Publish("wigeonladder", d.Metrics())
 	select {
 	case <-ctx.Done():
 		d.Drain()
