caller, conn: planned stops lose no request on kept connections

Cause: in the drain scenario the callers saw EOF, "server closed idle connection" and "connection reset by peer" 0 ms after sending, without a request id; the daemon had logged nothing about them. They were sent on kept connections that fasthttp's shutdown closed at that moment, or that the closed listener had not yet accepted. No running request was cut off.

While the daemon drains, every answer whose header is not yet sent carries Connection: close. In the refusing stage the listener stays open until no connection is open and no request came for 500 ms. A connection that was idle for 500 ms is sent a refusal (status 408, code 203) before it is half-closed, and is read on for up to 1 s: a request that crosses the close is answered by it and is not handled. A request whose connection breaks after it was sent still counts as failed; the tally now prints its error.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -53,9 +53,6 @@
 
 // writeWhole answers with a complete answer or an error.
 func (s *Server) writeWhole(c *fasthttp.RequestCtx, w *whole, err error) {
-	if s.ctx.Err() != nil {
-		c.SetConnectionClose()
-	}
 	if err != nil {
 		writeError(c, err)
 		return
@@ -118,7 +115,7 @@
 // stream runs a request whose answer is sent event by event. The header is
 // sent with the first event; an error before it is answered as an error.
 func (s *Server) stream(ctx context.Context, c *fasthttp.RequestCtx, r wigeonladder.Request) {
-	e := &events{ctx: c, whole: whole{status: fasthttp.StatusOK, contentType: streamType}}
+	e := &events{ctx: c, leaving: s.leaving, whole: whole{status: fasthttp.StatusOK, contentType: streamType}}
 	err := s.send(ctx, r, e)
 	s.note(r, r.ID, err)
 	if !e.started && (err != nil || !e.whole.isStream()) {
@@ -137,6 +134,7 @@
 type events struct {
 	ctx     *fasthttp.RequestCtx
 	started bool
+	leaving func() bool
 	// whole holds the status and, if the answer is no stream of events, all of
 	// it.
 	whole whole
@@ -196,7 +194,7 @@
 	if e.chunked() {
 		h.SetContentLength(-1)
 	}
-	if !e.chunked() || e.ctx.Request.Header.ConnectionClose() {
+	if !e.chunked() || e.ctx.Request.Header.ConnectionClose() || e.leaving() {
 		e.ctx.SetConnectionClose()
 	}
 	e.buf = append(e.buf, h.Header()...)
--- a/caller/rig_test.go
+++ b/caller/rig_test.go
@@ -147,6 +147,9 @@
 		t.Fatal(err)
 	}
 	defer a.Body.Close()
+	if a.Close {
+		a.Header.Set("Connection", "close") // net/http has removed it
+	}
 	b, err := io.ReadAll(a.Body)
 	return fake.Reply{Status: a.StatusCode, Header: a.Header, Body: string(b), Err: err}
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -96,6 +96,9 @@
 	index    atomic.Pointer[index]
 	open     atomic.Int64
 	served   sync.WaitGroup
+	// stopping refuses new requests; late is the time of the newest of them.
+	stopping atomic.Bool
+	late     atomic.Int64
 }
 
 // NewServer serves callers on the listener until the context ends or Shutdown
@@ -123,6 +126,7 @@
 		DisablePreParseMultipartForm: true,
 		NoDefaultContentType:         true,
 		Logger:                       httpLog{o.Journal},
+		ConnState:                    ended,
 	}
 	s.served.Go(func() {
 		if err := s.http.Serve(s.listener); err != nil && s.ctx.Err() == nil {
@@ -136,39 +140,6 @@
 // Open returns the number of open requests.
 func (s *Server) Open() int { return int(s.open.Load()) }
 
-// Shutdown closes the listener and waits for the open requests. If the context
-// ends first, they are cut off with CodeBroken and the context's error is
-// returned.
-func (s *Server) Shutdown(ctx context.Context) error {
-	err := s.http.ShutdownWithContext(ctx)
-	s.cut()
-	s.served.Wait()
-	return err
-}
-
-// cut ends the open requests and closes the listener and all connections.
-func (s *Server) cut() {
-	s.cancel(wigeonladder.Errorf(wigeonladder.CodeBroken, "", "the daemon stopped"))
-	_ = s.listener.Close()
-	s.settle()
-	s.listener.CloseConns()
-}
-
-// settle waits until the requests that were cut off are answered.
-func (s *Server) settle() {
-	limit := time.NewTimer(cutGrace)
-	defer limit.Stop()
-	tick := time.NewTicker(cutPoll)
-	defer tick.Stop()
-	for s.listener.Open() > 0 {
-		select {
-		case <-limit.C:
-			return
-		case <-tick.C:
-		}
-	}
-}
-
 // httpLog takes the log lines of fasthttp.
 type httpLog struct{ journal wigeonladder.Journal }
 
@@ -178,11 +149,31 @@
 	l.journal.Note("", "caller.connection-error")
 }
 
-// handle answers one request.
+// handle answers one request. While the daemon drains, every answer whose header
+// is not yet sent ends its connection, so that no caller keeps it.
 func (s *Server) handle(c *fasthttp.RequestCtx) {
-	if w, ok := c.Conn().(*conn.Conn); ok {
-		w.KeepResponse()
+	w, ok := c.Conn().(*conn.Conn)
+	if !ok {
+		s.answer(c)
+		return
 	}
+	w.KeepResponse()
+	if !w.Begin() {
+		w.SkipResponse()
+		c.SetConnectionClose()
+		return
+	}
+	s.answer(c)
+	if s.leaving() && !w.Skipped() {
+		c.SetConnectionClose()
+	}
+	if c.Response.ConnectionClose() {
+		w.Linger()
+	}
+}
+
+// answer answers one request.
+func (s *Server) answer(c *fasthttp.RequestCtx) {
 	path := string(c.Path())
 	if path == "/ready" {
 		s.ready(c)
@@ -190,9 +181,9 @@
 	}
 	id := s.options.NewID()
 	c.Response.Header.Set(headerRequest, id)
-	if s.options.Refusing() || s.ctx.Err() != nil {
-		c.SetConnectionClose()
-		writeError(c, wigeonladder.Errorf(wigeonladder.CodeDraining, "", "the daemon is stopping").WithRetryAfter(1))
+	if s.refusing() {
+		s.late.Store(time.Now().UnixNano())
+		writeError(c, drainingError().WithRetryAfter(1))
 		return
 	}
 	r, err := s.parse(c, id, path)
@@ -211,7 +202,7 @@
 // ready tells a load balancer whether to send requests.
 func (s *Server) ready(c *fasthttp.RequestCtx) {
 	c.SetContentType("text/plain; charset=utf-8")
-	if s.options.Draining() || s.options.Refusing() {
+	if s.leaving() {
 		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		c.SetBodyString("draining\n")
 		return
--- a/cmd/wigeonladder/check.go
+++ b/cmd/wigeonladder/check.go
@@ -24,7 +24,7 @@
 		if err := check(kind, file, register); err != nil {
 			return err
 		}
-		fmt.Fprintf(out, "%s: valid %s\n", file, kind)
+		_, _ = fmt.Fprintf(out, "%s: valid %s\n", file, kind)
 		return nil
 	}}
 }
--- a/cmd/wigeonladder/drain.go
+++ b/cmd/wigeonladder/drain.go
@@ -38,7 +38,7 @@
 	last := -1
 	for !status.Done {
 		if status.Open != last {
-			fmt.Fprintf(out, "draining open=%d\n", status.Open)
+			_, _ = fmt.Fprintf(out, "draining open=%d\n", status.Open)
 			last = status.Open
 		}
 		select {
@@ -52,6 +52,6 @@
 		}
 		status = next
 	}
-	fmt.Fprintln(out, "drained")
+	_, _ = fmt.Fprintln(out, "drained")
 	return nil
 }
--- a/cmd/wigeonladder/dump.go
+++ b/cmd/wigeonladder/dump.go
@@ -43,23 +43,23 @@
 	case map[string]any:
 		for _, k := range sortedKeys(v) {
 			if isLeaf(v[k]) {
-				fmt.Fprintf(out, "%s%s: %v\n", indent, k, v[k])
+				_, _ = fmt.Fprintf(out, "%s%s: %v\n", indent, k, v[k])
 				continue
 			}
-			fmt.Fprintf(out, "%s%s:\n", indent, k)
+			_, _ = fmt.Fprintf(out, "%s%s:\n", indent, k)
 			outline(out, v[k], depth+1)
 		}
 	case []any:
 		for _, e := range v {
 			if isLeaf(e) {
-				fmt.Fprintf(out, "%s- %v\n", indent, e)
+				_, _ = fmt.Fprintf(out, "%s- %v\n", indent, e)
 				continue
 			}
-			fmt.Fprintf(out, "%s-\n", indent)
+			_, _ = fmt.Fprintf(out, "%s-\n", indent)
 			outline(out, e, depth+1)
 		}
 	default:
-		fmt.Fprintf(out, "%s%v\n", indent, v)
+		_, _ = fmt.Fprintf(out, "%s%v\n", indent, v)
 	}
 }
 
--- a/cmd/wigeonladder/explain.go
+++ b/cmd/wigeonladder/explain.go
@@ -23,11 +23,11 @@
 			return err
 		}
 		for _, e := range events {
-			fmt.Fprintf(out, "%s %s", e.Time.Format(time.RFC3339Nano), e.Event)
+			_, _ = fmt.Fprintf(out, "%s %s", e.Time.Format(time.RFC3339Nano), e.Event)
 			for _, f := range e.Fields {
-				fmt.Fprintf(out, " %s=%q", f.Key, f.Value)
+				_, _ = fmt.Fprintf(out, " %s=%q", f.Key, f.Value)
 			}
-			fmt.Fprintln(out)
+			_, _ = fmt.Fprintln(out)
 		}
 		return nil
 	}}
--- a/cmd/wigeonladder/main.go
+++ b/cmd/wigeonladder/main.go
@@ -45,7 +45,7 @@
 		p.AttachSubcommand(c.sub, 1)
 	}
 	if err := p.ParseArgs(args); err != nil {
-		fmt.Fprintln(errout, "wigeonladder:", err)
+		_, _ = fmt.Fprintln(errout, "wigeonladder:", err)
 		return exitUsage
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -55,12 +55,12 @@
 			continue
 		}
 		if err := c.run(ctx, out); err != nil {
-			fmt.Fprintln(errout, err)
+			_, _ = fmt.Fprintln(errout, err)
 			return exitFailure
 		}
 		return exitOK
 	}
-	fmt.Fprintln(errout, "wigeonladder: name a command; --help lists them")
+	_, _ = fmt.Fprintln(errout, "wigeonladder: name a command; --help lists them")
 	return exitUsage
 }
 
--- a/conn/conn.go
+++ b/conn/conn.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Conn{Conn: n, listener: l}
+	c := &Conn{Conn: n, listener: l, idleSince: time.Now()}
 	l.mu.Lock()
 	l.open[c] = struct{}{}
 	l.mu.Unlock()
@@ -71,17 +71,32 @@
 	return len(l.open)
 }
 
+// Dismiss ends the connections that have waited for a request for at least that
+// long: it sends each the farewell, closes its sending side and reads on for a
+// moment. A request that crosses the farewell is thereby answered by it and is
+// not handled.
+func (l *Listener) Dismiss(idle time.Duration, farewell []byte) {
+	for _, c := range l.conns() {
+		c.dismiss(idle, farewell)
+	}
+}
+
 // CloseConns closes every open connection.
 func (l *Listener) CloseConns() {
+	for _, c := range l.conns() {
+		_ = c.close()
+	}
+}
+
+// conns returns the open connections.
+func (l *Listener) conns() []*Conn {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	open := make([]*Conn, 0, len(l.open))
 	for c := range l.open {
 		open = append(open, c)
 	}
-	l.mu.Unlock()
-	for _, c := range open {
-		_ = c.close()
-	}
+	return open
 }
 
 // Conn is an accepted connection.
@@ -97,6 +112,10 @@
 	err     error
 	linger  bool
 	skip    atomic.Bool
+	// idleSince is the time from which the connection waits for a request; zero
+	// while a request is read or handled.
+	idleSince time.Time
+	dismissed bool
 }
 
 // watch is one background read.
@@ -162,21 +181,73 @@
 	c.watch = nil
 }
 
-// Read returns first what a watch has read ahead.
+// Read returns first what a watch has read ahead. After a dismissal it returns
+// io.EOF.
 func (c *Conn) Read(b []byte) (int, error) {
+	if n, err := c.readHeld(b); n > 0 || err != nil {
+		return n, err
+	}
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.dismissed {
+		return 0, io.EOF
+	}
+	if n > 0 {
+		c.idleSince = time.Time{}
+	}
+	return n, err
+}
+
+// readHeld returns the byte or the error that a watch has met.
+func (c *Conn) readHeld(b []byte) (int, error) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.dismissed {
+		return 0, io.EOF
+	}
 	if c.hasHeld && len(b) > 0 {
 		b[0] = c.held[0]
 		c.hasHeld = false
-		c.mu.Unlock()
+		c.idleSince = time.Time{}
 		return 1, nil
 	}
-	err := c.err
-	c.mu.Unlock()
-	if err != nil {
-		return 0, err
+	return 0, c.err
+}
+
+// Begin tells that a request will be handled. It reports whether it may be: the
+// caller of a dismissed connection has been told that it was not.
+func (c *Conn) Begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSince = time.Time{}
+	return !c.dismissed
+}
+
+// End tells that the response of a request was sent.
+func (c *Conn) End() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.hasHeld {
+		c.idleSince = time.Now()
 	}
-	return c.Conn.Read(b)
+}
+
+// dismiss implements Listener.Dismiss.
+func (c *Conn) dismiss(idle time.Duration, farewell []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// A watch, which writes hasHeld, runs only while idleSince is zero.
+	if c.dismissed || c.idleSince.IsZero() || c.hasHeld || time.Since(c.idleSince) < idle {
+		return
+	}
+	c.dismissed, c.linger = true, true
+	_, _ = c.write(farewell)
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = w.CloseWrite()
+	}
+	// Ends the server's read, so that it closes the connection.
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
 // SkipResponse tells that the handler writes the response itself. It returns a
@@ -188,6 +259,9 @@
 	return writer{c}
 }
 
+// Skipped reports whether the handler writes the response itself.
+func (c *Conn) Skipped() bool { return c.skip.Load() }
+
 // KeepResponse ends the effect of SkipResponse.
 func (c *Conn) KeepResponse() { c.skip.Store(false) }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -64,7 +64,7 @@
 // New starts a daemon. It runs until the context ends, which stops it at once,
 // or until a graceful stop that Drain started is complete.
 func New(ctx context.Context, o Options) (*Daemon, error) {
-	lns, err := listen(o.Settings)
+	lns, err := listen(ctx, o.Settings)
 	if err != nil {
 		return nil, err
 	}
@@ -253,10 +253,11 @@
 }
 
 // listen opens the sockets, all or none.
-func listen(s setting.Settings) (listeners, error) {
+func listen(ctx context.Context, s setting.Settings) (listeners, error) {
 	var errs wigeonladder.Errors
+	var lc net.ListenConfig
 	open := func(place, address string) net.Listener {
-		ln, err := net.Listen("tcp", address)
+		ln, err := lc.Listen(ctx, "tcp", address)
 		if err != nil {
 			errs = append(errs, wigeonladder.Errorf(wigeonladder.CodeBadSettings, place, "%v", err))
 		}
--- a/demo/result.go
+++ b/demo/result.go
@@ -264,13 +264,13 @@
 // Print writes the result as a table for people.
 func (r Result) Print(out io.Writer) error {
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "workspace\tweight\towed (tokens)\tgot (tokens)\tgot/owed\t")
+	_, _ = fmt.Fprintln(t, "workspace\tweight\towed (tokens)\tgot (tokens)\tgot/owed\t")
 	for _, a := range r.Accounts {
 		part := 1.0
 		if a.Owed > 0 {
 			part = a.Got / a.Owed
 		}
-		fmt.Fprintf(t, "%s\t%.0f\t%.0f\t%.0f\t%.2f\t\n", a.Workspace, a.Weight, a.Owed, a.Got, part)
+		_, _ = fmt.Fprintf(t, "%s\t%.0f\t%.0f\t%.0f\t%.2f\t\n", a.Workspace, a.Weight, a.Owed, a.Got, part)
 	}
 	if err := t.Flush(); err != nil {
 		return err
@@ -281,9 +281,9 @@
 		}
 		return fmt.Sprintf("%.3g%s", *v, unit)
 	}
-	fmt.Fprintf(out, "\npolicy %s, workload %s, seed %d\n", r.Policy, r.Workload, r.Seed)
-	fmt.Fprintf(out, "served %d, refused %d, failed %d, crossed %d, doubled %d\n", r.Served, r.Refused, r.Failed, r.Crossed, r.Doubled)
-	fmt.Fprintf(out, "gap %s, utilisation %s, kept %s, control %.0f bytes/s per daemon\n",
+	_, _ = fmt.Fprintf(out, "\npolicy %s, workload %s, seed %d\n", r.Policy, r.Workload, r.Seed)
+	_, _ = fmt.Fprintf(out, "served %d, refused %d, failed %d, crossed %d, doubled %d\n", r.Served, r.Refused, r.Failed, r.Crossed, r.Doubled)
+	_, _ = fmt.Fprintf(out, "gap %s, utilisation %s, kept %s, control %.0f bytes/s per daemon\n",
 		optional(r.Gap, " tokens per weight"), optional(r.Utilisation, ""), optional(r.Kept, ""), r.Control)
 	return nil
 }
--- a/fake/relay.go
+++ b/fake/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -104,7 +105,7 @@
 // forward connects one source to the target. It dials from the source's IP
 // address, so that the target sees who calls.
 func (r *Relay) forward(from net.Conn) {
-	defer from.Close()
+	defer func() { _ = from.Close() }()
 	source := hostOf(from.RemoteAddr())
 	if !r.wait(source) {
 		return
@@ -114,7 +115,7 @@
 	if err != nil {
 		return
 	}
-	defer to.Close()
+	defer func() { _ = to.Close() }()
 	if !r.track(from, to) {
 		return
 	}
@@ -146,7 +147,7 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
+			if !errors.Is(err, io.EOF) {
 				_ = to.Close()
 			}
 			return
--- a/standin/call.go
+++ b/standin/call.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sort"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/wigeonladder/wigeonladder"
@@ -29,8 +31,10 @@
 	// Tokens is the largest length of a model answer.
 	Tokens int
 	Seed   uint64
-	// Retry sends a request again that was refused as "not run" or met no
-	// listener, at another entry, as a load balancer and a patient caller do.
+	// Retry prefers entries that are ready, and sends a request again that was
+	// refused as "not run" or met no listener, at another entry, as a load
+	// balancer and a patient caller do. A request whose connection breaks after
+	// it was sent is not sent again and counts as failed.
 	Retry bool
 }
 
@@ -44,6 +48,8 @@
 	Codes map[wigeonladder.Code]int
 	// IDs are the request ids, in no order.
 	IDs []string
+	// Faults describe the first requests whose connection broke.
+	Faults []string
 }
 
 // String returns the tally in one line.
@@ -78,8 +84,14 @@
 		t.Failed++
 	}
 	t.Codes[r.Code]++
+	if err != nil && len(t.Faults) < maxFaults {
+		t.Faults = append(t.Faults, fmt.Sprintf("request %q after %v: %v", r.Request, r.Total.Round(time.Millisecond), err))
+	}
 }
 
+// maxFaults bounds the faults that a tally describes.
+const maxFaults = 10
+
 // maxRetries bounds how often a patient caller sends a request again.
 const maxRetries = 20
 
@@ -91,12 +103,22 @@
 func (c Calls) Run(ctx context.Context) *Tally {
 	t := &Tally{Codes: map[wigeonladder.Code]int{}}
 	caller := NewCaller(KeyOf(c.Workspace))
+	defer caller.Close()
+	pick := func(n int) string { return c.Entries[n%len(c.Entries)] }
+	if c.Retry {
+		probes, stop := context.WithCancel(ctx)
+		b := newBalancer(probes, c.Entries, caller.Close)
+		defer b.wait()
+		defer stop()
+		pick = b.pick
+	}
 	numbers := make(chan int)
 	var all sync.WaitGroup
 	for range max(1, c.Parallel) {
 		all.Go(func() {
 			for n := range numbers {
-				r, err, want := c.send(ctx, caller, n)
+				body, want := c.body(n)
+				r, err := c.send(ctx, caller, pick, n, body)
 				t.add(r, err, want)
 			}
 		})
@@ -112,20 +134,19 @@
 	return t
 }
 
-// send sends request number n, again if the caller is patient.
-func (c Calls) send(ctx context.Context, caller *Caller, n int) (r Reply, err error, want string) {
-	body, want := c.body(n)
+// send sends a request, first to the entry that pick chooses for n, again if the
+// caller is patient.
+func (c Calls) send(ctx context.Context, caller *Caller, pick func(int) string, n int, body []byte) (r Reply, err error) {
 	for i := range maxRetries {
-		entry := c.Entries[(n+i)%len(c.Entries)]
-		r, err = c.once(ctx, caller, entry, body)
+		r, err = c.once(ctx, caller, pick(n+i), body)
 		refused := r.Code != wigeonladder.CodeOK && r.Code.Fact().Outcome == wigeonladder.NotRun
-		unreached := err != nil && r.Status == 0 && strings.Contains(err.Error(), "refused")
-		if !c.Retry || !(refused || unreached) || ctx.Err() != nil {
-			return r, err, want
+		again := refused || errors.Is(err, syscall.ECONNREFUSED)
+		if !c.Retry || !again || ctx.Err() != nil {
+			return r, err
 		}
 		time.Sleep(retryPause)
 	}
-	return r, err, want
+	return r, err
 }
 
 func (c Calls) once(ctx context.Context, caller *Caller, entry string, body []byte) (Reply, error) {
--- a/standin/main.go
+++ b/standin/main.go
@@ -26,7 +26,7 @@
 		p.AttachSubcommand(s, 1)
 	}
 	if err := p.ParseArgs(args); err != nil {
-		fmt.Fprintln(errout, "standin:", err)
+		_, _ = fmt.Fprintln(errout, "standin:", err)
 		return 2
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -43,7 +43,7 @@
 		err = errors.New("name a command; --help lists them")
 	}
 	if err != nil {
-		fmt.Fprintln(errout, "standin:", err)
+		_, _ = fmt.Fprintln(errout, "standin:", err)
 		return 1
 	}
 	return 0
@@ -69,7 +69,7 @@
 			return err
 		}
 		defer stand.Close()
-		fmt.Fprintln(out, "serving")
+		_, _ = fmt.Fprintln(out, "serving")
 		<-ctx.Done()
 		return nil
 	}
@@ -97,9 +97,12 @@
 	return s, func(ctx context.Context, out io.Writer) error {
 		c.Entries = strings.Split(entries, ",")
 		t := c.Run(ctx)
-		fmt.Fprintln(out, t)
+		_, _ = fmt.Fprintln(out, t)
+		for _, f := range t.Faults {
+			_, _ = fmt.Fprintln(out, "fault:", f)
+		}
 		if ids {
-			fmt.Fprintln(out, strings.Join(t.IDs, "\n"))
+			_, _ = fmt.Fprintln(out, strings.Join(t.IDs, "\n"))
 		}
 		if t.Wrong > 0 || all && t.Whole < c.Count {
 			return errors.New("some answers were not as they must be")
@@ -123,14 +126,14 @@
 		c := NewCaller(KeyOf(workspace))
 		if ticket == "" {
 			t, err := c.Ticket(ctx, entry, service, "POST", path)
-			fmt.Fprintln(out, t)
+			_, _ = fmt.Fprintln(out, t)
 			return err
 		}
 		r, err := c.Plain(ctx, entry, "POST", service, path, ticket, []byte(body))
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(out, "status=%d code=%d outcome=%q\n%s\n", r.Status, int(r.Code), r.Code.Fact().Outcome, r.Text)
+		_, _ = fmt.Fprintf(out, "status=%d code=%d outcome=%q\n%s\n", r.Status, int(r.Code), r.Code.Fact().Outcome, r.Text)
 		return nil
 	}
 }
