--- a/caller/parse.go
+++ b/caller/parse.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -27,12 +28,14 @@
 	headerCode    = "X-Result-Code"
 	headerService = "X-Service"
 	headerTicket  = "X-Ticket"
+	headerHint    = "X-Cost-Hint"
 )
 
 const (
 	// defaultMaxTokens is the expected length of an answer without max_tokens.
 	defaultMaxTokens = 256
-	// maxMaxTokens bounds max_tokens, so that estimates cannot overflow.
+	// maxMaxTokens bounds max_tokens and X-Cost-Hint, so that estimates cannot
+	// overflow.
 	maxMaxTokens = 1 << 30
 	// prefixBytes is how much of the messages the prefix hash covers.
 	prefixBytes = 1 << 10
@@ -55,7 +58,8 @@
 	}
 	switch {
 	case path == chatPath && c.IsPost():
-		return x.parseChat(r, string(c.Request.Header.Peek(headerService)), c.Request.SwapBody(nil))
+		r, err = x.parseChat(r, string(c.Request.Header.Peek(headerService)), c.Request.SwapBody(nil))
+		return withHint(r, c.Request.Header.Peek(headerHint), err)
 	case path == ticketsPath && c.IsPost():
 		return x.parseTicket(r, c.PostBody())
 	case strings.HasPrefix(path, plainPrefix):
@@ -64,6 +68,7 @@
 		r.Body = c.Request.SwapBody(nil)
 		r.Ticket = string(c.Request.Header.Peek(headerTicket))
 		r, err := x.parsePlain(r, path, string(c.URI().QueryString()))
+		r, err = withHint(r, c.Request.Header.Peek(headerHint), err)
 		if err == nil && r.Once && r.Ticket == "" {
 			err = wigeonladder.Errorf(wigeonladder.CodeNeedTicket, headerTicket, "%s %s needs a ticket", r.Method, r.Path)
 		}
@@ -82,6 +87,19 @@
 	return bytes.TrimSpace(key), nil
 }
 
+// withHint sets the estimate to the caller's hint in cost units, if it gave one.
+func withHint(r wigeonladder.Request, hint []byte, err error) (wigeonladder.Request, error) {
+	if err != nil || hint == nil {
+		return r, err
+	}
+	n, err := strconv.ParseInt(string(hint), 10, 64)
+	if err != nil || n < 1 || n > maxMaxTokens {
+		return r, malformed(headerHint, "must be a whole number between 1 and 2^30")
+	}
+	r.Estimate = n
+	return r, nil
+}
+
 // chatBody is what is read of a chat request.
 type chatBody struct {
 	Model     string          `json:"model"`
