--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -254,8 +254,8 @@
 
 // listen opens the sockets, all or none.
 func listen(ctx context.Context, s setting.Settings) (listeners, error) {
-	var lc net.ListenConfig
 	var errs wigeonladder.Errors
+	var lc net.ListenConfig
 	open := func(place, address string) net.Listener {
 		ln, err := lc.Listen(ctx, "tcp", address)
 		if err != nil {
