--- a/standin/caller.go
+++ b/standin/caller.go
@@ -223,3 +223,6 @@
 	}
 	return nil
 }
+
+// Close closes the idle connections.
+func (c *Caller) Close() { c.client.CloseIdleConnections() }
