campaign: first version of the seeded fault campaign on virtual time

daemon is split: Core holds the deciding parts and takes the platform, the backend servers, the listener and the dialler from outside; Daemon adds HTTP. The campaign runs five cores on an in-memory network under seeded faults. Before, every package was tested against its own fakes. The jitter of mesh and retries is now seeded too.

--- /dev/null
+++ b/campaign/campaign_test.go
@@ -0,0 +1,39 @@
+package campaign
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+)
+
+var (
+	seeds    = flag.Int("seeds", 3, "number of seeds of the campaign")
+	first    = flag.Uint64("first", 1, "first seed of the campaign")
+	requests = flag.Int("requests", 400, "number of requests for each seed")
+)
+
+// Guards against a promise of section 1.2 of the design page that breaks only
+// when faults of different kinds meet.
+func TestCampaign(t *testing.T) {
+	for i := range *seeds {
+		seed := *first + uint64(i)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				check(t, Run(t.Context(), Options{Seed: seed, Requests: *requests}))
+			})
+		})
+	}
+}
+
+// check asserts that a run kept all promises and did some work.
+func check(t *testing.T, r Result) {
+	t.Helper()
+	is := is.New(t)
+	t.Log(r)
+	is.Equal(len(r.Violations), 0)            // promises broken
+	is.True(r.Counts["faults"] > 0)           // no fault was injected
+	is.True(r.Counts["complete answers"] > 0) // nothing was answered
+}
--- /dev/null
+++ b/campaign/fleet.go
@@ -0,0 +1,223 @@
+package campaign
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// The size of the fleet under test.
+const (
+	daemons      = 5
+	zones        = 3
+	modelServers = 10
+	plainServers = 3
+	workspaces   = 8
+
+	serviceModel = "chat"
+	servicePlain = "desk"
+	pathOnce     = "/pay"
+	pathPlain    = "/status"
+)
+
+// fleet is one fleet with its surroundings.
+type fleet struct {
+	ctx      context.Context
+	seed     uint64
+	history  *history
+	net      *network
+	registry *registry
+	nodes    []*node
+	servers  map[string]*server
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	conf    wigeonladder.Config
+	calls   map[string]*call
+	ids     int
+	leaving map[string]time.Time
+	// active counts the faults under way; touched is when the last ended.
+	active  int
+	touched time.Time
+	// first is when a calm daemon first had a revision in force.
+	first map[uint64]time.Time
+}
+
+// newFleet starts a fleet.
+func newFleet(ctx context.Context, seed uint64) *fleet {
+	now := time.Now()
+	f := &fleet{
+		ctx:     ctx,
+		seed:    seed,
+		history: &history{start: now, counts: map[string]int{}},
+		net:     newNetwork(ctx, seed),
+		servers: map[string]*server{},
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		conf:    newConfig(),
+		calls:   map[string]*call{},
+		leaving: map[string]time.Time{},
+		first:   map[uint64]time.Time{},
+		touched: now,
+	}
+	f.registry = newRegistry(f.conf)
+	for _, v := range f.conf.Register.Services {
+		for _, s := range v.Servers {
+			f.servers[s.Name] = newServer(ctx, s, v.Kind, f.history)
+			f.net.zones[s.Address] = s.Zone
+		}
+	}
+	for _, v := range f.conf.Register.VMs {
+		n := &node{fleet: f, vm: v, thawed: make(chan struct{}), touched: now}
+		f.nodes = append(f.nodes, n)
+	}
+	for _, n := range f.nodes {
+		n.startNode()
+	}
+	go func() { f.sample() }()
+	return f
+}
+
+// newConfig returns the first revision.
+func newConfig() wigeonladder.Config {
+	c := wigeonladder.Config{Revision: 1}
+	for i := range zones {
+		c.Register.Zones = append(c.Register.Zones, wigeonladder.Zone{Name: zoneName(i), Region: "r"})
+	}
+	for i := range daemons {
+		c.Register.VMs = append(c.Register.VMs, wigeonladder.VM{
+			Name: fmt.Sprintf("d%d", i), Zone: zoneName(i),
+			Peer: fmt.Sprintf("10.0.0.%d:7000", i+1), Caller: fmt.Sprintf("10.0.0.%d:80", i+1),
+		})
+	}
+	model := wigeonladder.Service{Name: serviceModel, Kind: wigeonladder.KindModel}
+	for i := range modelServers {
+		model.Servers = append(model.Servers, newBackend("m", 1, i, 2, 4))
+	}
+	plain := wigeonladder.Service{
+		Name: servicePlain, Kind: wigeonladder.KindPlain, CallCost: 1,
+		Routes: []wigeonladder.Route{{Prefix: pathOnce, Once: true}},
+	}
+	for i := range plainServers {
+		plain.Servers = append(plain.Servers, newBackend("p", 2, i, 3, 5))
+	}
+	c.Register.Services = []wigeonladder.Service{model, plain}
+	for i := range workspaces {
+		key := sha256.Sum256([]byte(workspaceName(i)))
+		c.Register.Workspaces = append(c.Register.Workspaces, wigeonladder.Workspace{
+			Name: workspaceName(i), Keys: []string{hex.EncodeToString(key[:])},
+		})
+	}
+	c.Rules.Shares = []wigeonladder.Share{{Workspace: workspaceName(0), Weight: 2}}
+	return c
+}
+
+func zoneName(i int) string { return fmt.Sprintf("z%d", i%zones) }
+
+func workspaceName(i int) string { return fmt.Sprintf("w%d", i%workspaces) }
+
+// newBackend returns the register's entry of a backend server.
+func newBackend(prefix string, subnet, i, slots, maxSlots int) wigeonladder.Server {
+	s := wigeonladder.Server{
+		Name: fmt.Sprintf("%s%d", prefix, i), Zone: zoneName(i),
+		Address: fmt.Sprintf("10.%d.0.%d:80", subnet, i+1), Slots: slots, MaxSlots: maxSlots,
+	}
+	if prefix == "m" {
+		s.Models = []string{"llm"}
+	}
+	return s
+}
+
+// config returns the newest valid configuration.
+func (f *fleet) config() wigeonladder.Config {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.conf
+}
+
+// publish publishes a change of the configuration as a new revision.
+func (f *fleet) publish(valid bool, change func(wigeonladder.Config) wigeonladder.Config) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := change(f.conf)
+	next.Revision++
+	f.registry.publish(next, valid)
+	f.history.note("", "revision %d is published, valid %v", next.Revision, valid)
+	if valid {
+		f.conf = next
+		return
+	}
+	// The number of an invalid revision is not used again.
+	f.conf.Revision = next.Revision
+}
+
+// without returns a configuration without a workspace.
+func without(c wigeonladder.Config, name string) wigeonladder.Config {
+	is := func(n string) bool { return n == name }
+	c.Register.Workspaces = slices.DeleteFunc(slices.Clone(c.Register.Workspaces), func(w wigeonladder.Workspace) bool { return is(w.Name) })
+	c.Rules.Shares = slices.DeleteFunc(slices.Clone(c.Rules.Shares), func(s wigeonladder.Share) bool { return is(s.Workspace) })
+	return c
+}
+
+// addresses returns all addresses of the network.
+func (f *fleet) addresses() []string {
+	all := []string{addressPlatform, addressCallers}
+	for _, n := range f.nodes {
+		all = append(all, n.vm.Peer)
+	}
+	for _, s := range f.servers {
+		all = append(all, s.spec.Address)
+	}
+	return all
+}
+
+// intn returns a random number below n.
+func (f *fleet) intn(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.IntN(n)
+}
+
+// call returns a call by its name.
+func (f *fleet) call(name string) *call {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls[name]
+}
+
+// add records a call.
+func (f *fleet) add(c *call) *call {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls[c.name] = c
+	return c
+}
+
+// nextID returns a new request id.
+func (f *fleet) nextID() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ids++
+	return fmt.Sprintf("q%d", f.ids)
+}
+
+// disturb notes that a fault of any kind is under way, or with -1 no longer.
+func (f *fleet) disturb(by int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.active += by
+	f.touched = time.Now()
+}
+
+// calm reports whether no daemon and no way was disturbed since a time.
+func (f *fleet) calm(since time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.active == 0 && f.touched.Before(since)
+}
--- /dev/null
+++ b/campaign/history.go
@@ -0,0 +1,149 @@
+package campaign
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// The checks, by the name that a violation carries.
+const (
+	checkDoubled  = "doubled"
+	checkCrossed  = "crossed"
+	checkNotRun   = "false not run"
+	checkLost     = "lost contract"
+	checkLimit    = "over limit"
+	checkRevision = "revision"
+	checkLeaving  = "leaving"
+	checkWait     = "wait"
+	checkCrash    = "crashing request"
+	checkNormal   = "back to normal"
+)
+
+// traceAround is how much of the history before and after a violation a trace
+// shows of faults; traceLines bounds its length.
+const (
+	traceAround = 12 * time.Second
+	traceLines  = 60
+)
+
+// event is one line of the history.
+type event struct {
+	at time.Time
+	// subject is a call or a VM; empty for faults, which concern all.
+	subject string
+	text    string
+}
+
+// execution is one run of a call at a backend server.
+type execution struct {
+	call, request, server string
+	at                    time.Time
+}
+
+// sending is one sending of a call by its caller, with the answer.
+type sending struct {
+	call    *call
+	request string
+	node    string
+	start   time.Time
+	end     time.Time
+	code    wigeonladder.Code
+	body    []string
+	// left is true if the caller did not wait for the answer.
+	left bool
+}
+
+// Violation is one broken promise.
+type Violation struct {
+	Check   string
+	Subject string
+	Text    string
+	At      time.Time
+}
+
+// history keeps what happened in one run.
+type history struct {
+	start time.Time
+
+	mu         sync.Mutex
+	events     []event
+	executions []execution
+	sendings   []*sending
+	violations []Violation
+	counts     map[string]int
+}
+
+// note adds a line.
+func (h *history) note(subject, format string, args ...any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.events = append(h.events, event{time.Now(), subject, fmt.Sprintf(format, args...)})
+}
+
+// violate records a violation.
+func (h *history) violate(check, subject, format string, args ...any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.violations = append(h.violations, Violation{check, subject, fmt.Sprintf(format, args...), time.Now()})
+}
+
+// count adds to a counter of the report.
+func (h *history) count(name string, n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.counts[name] += n
+}
+
+// peak raises a counter of the report to a value.
+func (h *history) peak(name string, n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.counts[name] = max(h.counts[name], n)
+}
+
+// execute records a run of a call.
+func (h *history) execute(e execution) {
+	h.note(e.call, "%s executes on %s", e.request, e.server)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.executions = append(h.executions, e)
+}
+
+// end records an ended sending.
+func (h *history) end(s *sending) {
+	s.end = time.Now()
+	h.note(s.call.name, "%s at %s ends with %v after %v", s.request, s.node, s.code, s.end.Sub(s.start))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sendings = append(h.sendings, s)
+}
+
+// Trace returns the lines about the subject of a violation and the faults
+// around it.
+func (h *history) trace(v Violation) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	first, last := v.At, v.At
+	for _, e := range h.events {
+		if e.subject == v.Subject && e.subject != "" && e.at.Before(first) {
+			first = e.at
+		}
+	}
+	var lines []string
+	for _, e := range h.events {
+		near := e.subject == "" && e.at.After(first.Add(-traceAround)) && e.at.Before(last.Add(traceAround))
+		if near || e.subject != "" && e.subject == v.Subject {
+			lines = append(lines, fmt.Sprintf("  %9.3fs %-8s %s", e.at.Sub(h.start).Seconds(), e.subject, e.text))
+		}
+	}
+	if len(lines) > traceLines {
+		cut := len(lines) - traceLines
+		lines = slices.Insert(lines[cut:], 0, fmt.Sprintf("  ... %d lines", cut))
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/campaign/settle.go
@@ -0,0 +1,169 @@
+package campaign
+
+import (
+	"sync"
+	"time"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// Times of the end of a run.
+const (
+	// settleWithin is how long after the last fault the fleet is normal again.
+	settleWithin = 15 * time.Second
+	// persistFor tells a lost contract from one whose grant or release is on
+	// its way. Releases are repeated each second.
+	persistFor = 3 * time.Second
+	// finishWithin bounds the wait for the last callers.
+	finishWithin = 5 * time.Minute
+	// fillTokens makes the requests of the final round overlap.
+	fillTokens = 400
+	fillWithin = 4 * time.Second
+)
+
+// checkSettled checks that members, homes and revisions are normal.
+func (f *fleet) checkSettled() {
+	newest := f.config()
+	for _, n := range f.nodes {
+		core, _ := n.running()
+		if core == nil {
+			f.history.violate(checkNormal, n.vm.Name, "no daemon runs")
+			continue
+		}
+		if m := core.Members(); len(m) != len(f.nodes) {
+			f.history.violate(checkNormal, n.vm.Name, "members %v", m)
+		}
+		if r := core.Config().Revision; r != newest.Revision {
+			f.history.violate(checkRevision, n.vm.Name, "revision %d in force, newest is %d", r, newest.Revision)
+		}
+	}
+	for _, s := range f.servers {
+		f.checkHome(s)
+	}
+}
+
+// checkHome checks that all daemons agree on the one home of a server.
+func (f *fleet) checkHome(s *server) {
+	counting := 0
+	homes := map[string]bool{}
+	for _, n := range f.nodes {
+		core, _ := n.running()
+		if core == nil {
+			continue
+		}
+		home, _ := core.HomeOf(s.spec)
+		homes[home] = true
+		for _, d := range core.Home().Servers {
+			if d.Name == s.spec.Name {
+				counting++
+			}
+		}
+	}
+	if len(homes) != 1 || counting != 1 {
+		f.history.violate(checkNormal, s.spec.Name, "homes %v, %d daemons count its slots", homes, counting)
+	}
+}
+
+// lost returns the contracts that only one side has, and those of requests
+// that have ended.
+func (f *fleet) lost() map[wigeonladder.ContractID]string {
+	counted, held := map[wigeonladder.ContractID]string{}, map[wigeonladder.ContractID]string{}
+	odd := map[wigeonladder.ContractID]string{}
+	for _, n := range f.nodes {
+		core, _ := n.running()
+		if core == nil {
+			continue
+		}
+		for _, c := range core.Home().Contracts {
+			counted[c.Contract.ID] = n.vm.Name + " counts a slot of " + c.Contract.Server + " for " + c.Contract.Entry
+		}
+		for _, h := range core.Entry().Held {
+			held[h.Contract.ID] = n.vm.Name + " holds a slot of " + h.Contract.Server + " for " + h.Request
+			if f.ended(h.Request) {
+				odd[h.Contract.ID] = held[h.Contract.ID] + ", which has ended"
+			}
+		}
+	}
+	for id, text := range counted {
+		if held[id] == "" {
+			odd[id] = text + ", which does not hold it"
+		}
+	}
+	for id, text := range held {
+		if counted[id] == "" {
+			odd[id] = text + ", which no home counts"
+		}
+	}
+	return odd
+}
+
+// ended reports whether the sending of a request has ended. A running ticket
+// outlives the sending that started it.
+func (f *fleet) ended(request string) bool {
+	f.history.mu.Lock()
+	defer f.history.mu.Unlock()
+	for _, s := range f.history.sendings {
+		if s.request == request {
+			return !s.call.once
+		}
+	}
+	return false
+}
+
+// checkLostContracts checks that no contract stays lost.
+func (f *fleet) checkLostContracts() {
+	before := f.lost()
+	sleep(f.ctx, persistFor)
+	for id, text := range f.lost() {
+		if before[id] != "" {
+			f.history.violate(checkLost, "", "%v: %s", id, text)
+		}
+	}
+}
+
+// checkIdle checks that nothing is counted or held once all callers are done.
+func (f *fleet) checkIdle() {
+	for _, n := range f.nodes {
+		core, _ := n.running()
+		if core == nil {
+			continue
+		}
+		for _, c := range core.Home().Contracts {
+			f.history.violate(checkLost, n.vm.Name, "%v on %s is counted in an idle fleet", c.Contract.ID, c.Contract.Server)
+		}
+		for _, h := range core.Entry().Held {
+			f.history.violate(checkLost, n.vm.Name, "%v on %s is held for %s in an idle fleet", h.Contract.ID, h.Contract.Server, h.Request)
+		}
+	}
+}
+
+// checkFill fills all slots with a final round of requests.
+func (f *fleet) checkFill() {
+	slots := 0
+	for _, n := range f.nodes {
+		if core, _ := n.running(); core != nil {
+			for _, s := range core.Home().Servers {
+				if s.Service == serviceModel {
+					slots += s.Limit
+				}
+			}
+		}
+	}
+	var all sync.WaitGroup
+	for i := range slots {
+		c := f.add(&call{name: "fill" + itoa(i), workspace: workspaceName(i), service: serviceModel, tokens: fillTokens})
+		all.Go(func() { f.send(f.pick(), c, "") })
+	}
+	sleep(f.ctx, fillWithin)
+	running := 0
+	for _, s := range f.servers {
+		if s.kind == wigeonladder.KindModel {
+			running += s.load()
+		}
+	}
+	f.history.count("slots filled", running)
+	if running < slots {
+		f.history.violate(checkLost, "", "%d of %d slots run after a round of as many requests", running, slots)
+	}
+	all.Wait()
+}
--- /dev/null
+++ b/daemon/core.go
@@ -0,0 +1,244 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/contract"
+	"github.com/wigeonladder/wigeonladder/entry"
+	"github.com/wigeonladder/wigeonladder/fair"
+	"github.com/wigeonladder/wigeonladder/limit"
+	"github.com/wigeonladder/wigeonladder/operator"
+	"github.com/wigeonladder/wigeonladder/peer"
+	"github.com/wigeonladder/wigeonladder/platform"
+	"github.com/wigeonladder/wigeonladder/retry"
+	"github.com/wigeonladder/wigeonladder/setting"
+	"github.com/wigeonladder/wigeonladder/ticket"
+)
+
+// CoreOptions are what a Core needs of the outside.
+type CoreOptions struct {
+	Settings setting.Settings
+	// Incarnation names this start of the daemon and is unique in the fleet.
+	Incarnation string
+	// Seed seeds the jitter of all parts. It must differ between daemons.
+	Seed     uint64
+	Platform wigeonladder.Platform
+	// Backend returns the way to backend servers, given a function that tells
+	// the kind of a service.
+	Backend func(kind func(service string) wigeonladder.Kind) wigeonladder.Backend
+	// Listener accepts the links of peers, Dial connects to a peer address.
+	Listener net.Listener
+	Dial     func(ctx context.Context, address string) (net.Conn, error)
+	// Placer replaces the policy of the fleet; nil for the fleet's own.
+	Placer wigeonladder.Placer
+	// Log gets one line for each event; nil for none.
+	Log log.Interface
+}
+
+// Core is the part of a daemon that decides, without HTTP. It reaches the
+// outside only through its options, so that the fault campaign can run it on
+// virtual time.
+type Core struct {
+	settings    setting.Settings
+	incarnation string
+	journal     *operator.Journal
+
+	watcher  *platform.Watcher
+	counters *fair.Counters
+	mesh     *peer.Mesh
+	ledger   *contract.Ledger
+	queue    *entry.Queue
+	backend  wigeonladder.Backend
+	runner   *retry.Runner
+	book     *ticket.Book
+
+	slots  atomic.Int64
+	stages stages
+}
+
+// slotsPeriod is how often the slots of the own servers are counted again.
+const slotsPeriod = time.Second
+
+// NewCore starts the parts of a daemon. They run until the context ends.
+func NewCore(ctx context.Context, o CoreOptions) *Core {
+	d := &Core{
+		settings:    o.Settings,
+		incarnation: o.Incarnation,
+		journal:     operator.NewJournal(o.Log),
+	}
+	d.build(ctx, o)
+	d.journal.Note("", "started", "vm", d.settings.Name, "zone", d.settings.Zone, "incarnation", d.incarnation)
+	go func() {
+		tick := time.NewTicker(slotsPeriod)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+				d.countSlots()
+			}
+		}
+	}()
+	return d
+}
+
+// build creates the parts in the order in which they need each other.
+func (d *Core) build(ctx context.Context, o CoreOptions) {
+	d.watcher = platform.NewWatcher(ctx, platform.Options{
+		Platform: o.Platform,
+		Parse: func(data []byte) (wigeonladder.Config, error) {
+			return setting.ParseConfig("config", data)
+		},
+		Journal: d.journal,
+		Seed:    o.Seed,
+	})
+	d.counters = fair.NewCounters(fair.Options{
+		Home:  d.incarnation,
+		Rules: func() wigeonladder.Rules { return d.watcher.Config().Rules },
+		Slots: func() int { return int(d.slots.Load()) },
+	})
+	suspects := retry.NewSuspects()
+	d.mesh = peer.NewMesh(ctx, peer.Options{
+		Self:        d.vm(),
+		Incarnation: d.incarnation,
+		Listener:    o.Listener,
+		Dial:        o.Dial,
+		Config:      d.watcher.Config,
+		Live:        d.watcher.Live,
+		Document:    d.watcher.Document,
+		Offer:       d.watcher.Offer,
+		Counters:    d.counters,
+		Suspects:    suspects,
+		Seeds:       d.settings.Links,
+		Journal:     d.journal,
+		Seed:        o.Seed,
+	})
+	d.backend = o.Backend(d.kind)
+	d.buildRoles(ctx)
+	placer := o.Placer
+	if placer == nil {
+		placer = d.queue
+	}
+	d.runner = retry.NewRunner(retry.Options{
+		Placer:   placer,
+		Backend:  d.backend,
+		Server:   d.server,
+		State:    d.mesh.State,
+		Budget:   retry.NewBudget(),
+		Suspects: suspects,
+		Journal:  d.journal,
+		Spread:   d.mesh.Spread,
+		Seed:     o.Seed,
+	})
+	d.book = ticket.NewBook(ticket.Options{
+		Self:         d.settings.Name,
+		Incarnation:  d.incarnation,
+		Runner:       d.runner,
+		Forward:      d.mesh.Forward,
+		Incarnations: d.mesh.Incarnations,
+		Journal:      d.journal,
+	})
+	d.mesh.Serve(d.ledger, d.queue, d.book)
+}
+
+// buildRoles creates the home and the entry role.
+func (d *Core) buildRoles(ctx context.Context) {
+	d.ledger = contract.NewLedger(ctx, contract.Options{
+		Fleet:  d.mesh,
+		Shares: d.counters,
+		Config: d.watcher.Config,
+		Limiter: func(s wigeonladder.Server) wigeonladder.Limiter {
+			return limit.New(s.Slots, s.MaxSlots)
+		},
+		Load:        d.backend.Load,
+		Incarnation: d.incarnation,
+		Journal:     d.journal,
+	})
+	d.queue = entry.NewQueue(ctx, entry.Options{
+		Fleet:      d.mesh,
+		Zone:       d.settings.Zone,
+		Config:     d.watcher.Config,
+		MaxWaiting: d.settings.MaxWaiting,
+		MaxWait:    time.Duration(d.settings.MaxWait),
+		Journal:    d.journal,
+	})
+}
+
+// vm returns this daemon's VM as its settings describe it.
+func (d *Core) vm() wigeonladder.VM {
+	return wigeonladder.VM{
+		Name:   d.settings.Name,
+		Zone:   d.settings.Zone,
+		Peer:   d.settings.Peer,
+		Caller: d.settings.Caller,
+	}
+}
+
+// kind returns the kind of a service in force.
+func (d *Core) kind(service string) wigeonladder.Kind {
+	s, _ := d.watcher.Config().Register.Service(service)
+	return s.Kind
+}
+
+// server finds a backend server by its name.
+func (d *Core) server(name string) (wigeonladder.Server, bool) {
+	for _, v := range d.watcher.Config().Register.Services {
+		for _, s := range v.Servers {
+			if s.Name == name {
+				return s, true
+			}
+		}
+	}
+	return wigeonladder.Server{}, false
+}
+
+// countSlots counts the slots of the servers whose home is this daemon. Other
+// homes scale their extrapolation by it.
+func (d *Core) countSlots() {
+	n := 0
+	for _, v := range d.watcher.Config().Register.Services {
+		for _, s := range v.Servers {
+			if vm, ok := d.mesh.HomeOf(s); ok && vm == d.settings.Name {
+				n += s.Slots
+			}
+		}
+	}
+	d.slots.Store(int64(n))
+}
+
+// Config returns the configuration in force.
+func (d *Core) Config() wigeonladder.Config { return d.watcher.Config() }
+
+// State returns the state of a backend server by all that is known.
+func (d *Core) State(server string) wigeonladder.State { return d.mesh.State(server) }
+
+// HomeOf returns the VM name of the home of a backend server.
+func (d *Core) HomeOf(s wigeonladder.Server) (string, bool) { return d.mesh.HomeOf(s) }
+
+// Members returns the VM names of the daemons believed alive.
+func (d *Core) Members() []string { return d.mesh.Members() }
+
+// Home returns the state of the home role.
+func (d *Core) Home() contract.Dump { return d.ledger.Dump() }
+
+// Entry returns the state of the entry role.
+func (d *Core) Entry() entry.Dump { return d.queue.Dump() }
+
+// Explain returns the recorded events of a request, oldest first.
+func (d *Core) Explain(request string) []operator.Event { return d.journal.Explain(request) }
+
+// Runner runs requests that may be repeated.
+func (d *Core) Runner() wigeonladder.Runner { return d.runner }
+
+// Tickets guards requests that may not be repeated.
+func (d *Core) Tickets() wigeonladder.Tickets { return d.book }
+
+// Traffic returns the control traffic since the start.
+func (d *Core) Traffic() peer.Traffic { return d.mesh.Traffic() }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,8 +5,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"net"
-	"sync/atomic"
-	"time"
+	"sync"
 
 	"github.com/apex/log"
 	"github.com/google/uuid"
@@ -14,16 +13,9 @@
 	"github.com/wigeonladder/wigeonladder"
 	"github.com/wigeonladder/wigeonladder/backend"
 	"github.com/wigeonladder/wigeonladder/caller"
-	"github.com/wigeonladder/wigeonladder/contract"
-	"github.com/wigeonladder/wigeonladder/entry"
-	"github.com/wigeonladder/wigeonladder/fair"
-	"github.com/wigeonladder/wigeonladder/limit"
 	"github.com/wigeonladder/wigeonladder/operator"
-	"github.com/wigeonladder/wigeonladder/peer"
 	"github.com/wigeonladder/wigeonladder/platform"
-	"github.com/wigeonladder/wigeonladder/retry"
 	"github.com/wigeonladder/wigeonladder/setting"
-	"github.com/wigeonladder/wigeonladder/ticket"
 )
 
 // Options configure a Daemon.
@@ -36,31 +28,19 @@
 	Placer wigeonladder.Placer
 }
 
-// Daemon is one running daemon.
+// Daemon is one running daemon: a core and its interfaces over HTTP.
 type Daemon struct {
-	settings    setting.Settings
-	incarnation string
-	journal     *operator.Journal
-
-	watcher  *platform.Watcher
-	counters *fair.Counters
-	mesh     *peer.Mesh
-	ledger   *contract.Ledger
-	queue    *entry.Queue
-	backend  *backend.Client
-	book     *ticket.Book
+	*Core
+	settings setting.Settings
 	caller   *caller.Server
 	operator *operator.Server
 
-	slots  atomic.Int64
-	stages stages
+	start  chan struct{}
+	once   sync.Once
 	cancel context.CancelFunc
 	done   chan struct{}
 }
 
-// slotsPeriod is how often the slots of the own servers are counted again.
-const slotsPeriod = time.Second
-
 // New starts a daemon. It runs until the context ends, which stops it at once,
 // or until a graceful stop that Drain started is complete.
 func New(ctx context.Context, o Options) (*Daemon, error) {
@@ -71,27 +51,25 @@
 	ctx, cancel := context.WithCancel(ctx)
 	id := uuid.New()
 	d := &Daemon{
-		settings:    o.Settings,
-		incarnation: hex.EncodeToString(id[:6]),
-		journal:     operator.NewJournal(o.Log),
-		cancel:      cancel,
-		done:        make(chan struct{}),
+		settings: o.Settings,
+		start:    make(chan struct{}),
+		cancel:   cancel,
+		done:     make(chan struct{}),
 	}
-	d.stages.start = make(chan struct{})
-	d.build(ctx, lns, o.Placer, binary.BigEndian.Uint64(id[8:]))
-	d.journal.Note("", "started", "vm", d.settings.Name, "zone", d.settings.Zone, "incarnation", d.incarnation)
-	go func() {
-		tick := time.NewTicker(slotsPeriod)
-		defer tick.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-tick.C:
-				d.countSlots()
-			}
-		}
-	}()
+	d.Core = NewCore(ctx, CoreOptions{
+		Settings:    o.Settings,
+		Incarnation: hex.EncodeToString(id[:6]),
+		Seed:        binary.BigEndian.Uint64(id[8:]),
+		Platform:    platform.NewClient(o.Settings.Platform),
+		Backend: func(kind func(string) wigeonladder.Kind) wigeonladder.Backend {
+			return backend.NewClient(backend.Options{Kind: kind, Local: hostOf(o.Settings.Peer)})
+		},
+		Listener: lns.peer,
+		Dial:     dialFrom(o.Settings.Peer),
+		Placer:   o.Placer,
+		Log:      o.Log,
+	})
+	d.buildServers(ctx, lns)
 	go func() {
 		defer close(d.done)
 		d.live(ctx)
@@ -99,96 +77,16 @@
 	return d, nil
 }
 
-// build creates the parts in the order in which they need each other.
-func (d *Daemon) build(ctx context.Context, lns listeners, placer wigeonladder.Placer, seed uint64) {
-	d.watcher = platform.NewWatcher(ctx, platform.Options{
-		Platform: platform.NewClient(d.settings.Platform),
-		Parse: func(data []byte) (wigeonladder.Config, error) {
-			return setting.ParseConfig("config", data)
-		},
-		Journal: d.journal,
-		Seed:    seed,
-	})
-	d.counters = fair.NewCounters(fair.Options{
-		Home:  d.incarnation,
-		Rules: func() wigeonladder.Rules { return d.watcher.Config().Rules },
-		Slots: func() int { return int(d.slots.Load()) },
-	})
-	suspects := retry.NewSuspects()
-	d.mesh = peer.NewMesh(ctx, peer.Options{
-		Self:        d.vm(),
-		Incarnation: d.incarnation,
-		Listener:    lns.peer,
-		Dial:        dialFrom(d.settings.Peer),
-		Config:      d.watcher.Config,
-		Live:        d.watcher.Live,
-		Document:    d.watcher.Document,
-		Offer:       d.watcher.Offer,
-		Counters:    d.counters,
-		Suspects:    suspects,
-		Seeds:       d.settings.Links,
-		Journal:     d.journal,
-	})
-	d.backend = backend.NewClient(backend.Options{Kind: d.kind, Local: hostOf(d.settings.Peer)})
-	d.buildRoles(ctx)
-	if placer == nil {
-		placer = d.queue
-	}
-	runner := retry.NewRunner(retry.Options{
-		Placer:   placer,
-		Backend:  d.backend,
-		Server:   d.server,
-		State:    d.mesh.State,
-		Budget:   retry.NewBudget(),
-		Suspects: suspects,
-		Journal:  d.journal,
-		Spread:   d.mesh.Spread,
-	})
-	d.book = ticket.NewBook(ticket.Options{
-		Self:         d.settings.Name,
-		Incarnation:  d.incarnation,
-		Runner:       runner,
-		Forward:      d.mesh.Forward,
-		Incarnations: d.mesh.Incarnations,
-		Journal:      d.journal,
-	})
-	d.mesh.Serve(d.ledger, d.queue, d.book)
-	d.buildServers(ctx, lns, runner)
-}
-
-// buildRoles creates the home and the entry role.
-func (d *Daemon) buildRoles(ctx context.Context) {
-	d.ledger = contract.NewLedger(ctx, contract.Options{
-		Fleet:  d.mesh,
-		Shares: d.counters,
-		Config: d.watcher.Config,
-		Limiter: func(s wigeonladder.Server) wigeonladder.Limiter {
-			return limit.New(s.Slots, s.MaxSlots)
-		},
-		Load:        d.backend.Load,
-		Incarnation: d.incarnation,
-		Journal:     d.journal,
-	})
-	d.queue = entry.NewQueue(ctx, entry.Options{
-		Fleet:      d.mesh,
-		Zone:       d.settings.Zone,
-		Config:     d.watcher.Config,
-		MaxWaiting: d.settings.MaxWaiting,
-		MaxWait:    time.Duration(d.settings.MaxWait),
-		Journal:    d.journal,
-	})
-}
-
 // buildServers creates the interfaces towards callers and operators.
-func (d *Daemon) buildServers(ctx context.Context, lns listeners, runner wigeonladder.Runner) {
+func (d *Daemon) buildServers(ctx context.Context, lns listeners) {
 	d.caller = caller.NewServer(ctx, caller.Options{
 		Listener: lns.caller,
 		Config:   d.watcher.Config,
-		Runner:   runner,
+		Runner:   d.runner,
 		Tickets:  d.book,
 		MaxBody:  d.settings.MaxBody,
-		Draining: func() bool { return d.stages.draining.Load() || d.watcher.Config().Revision == 0 },
-		Refusing: d.stages.refusing.Load,
+		Draining: func() bool { return d.Draining() || d.watcher.Config().Revision == 0 },
+		Refusing: d.Refusing,
 		Journal:  d.journal,
 	})
 	d.operator = operator.NewServer(ctx, operator.Options{
@@ -198,52 +96,10 @@
 		Dump:     func() any { return d.Dump() },
 		Metrics:  func() string { return d.Metrics().String() },
 		Drain:    d.Drain,
-		Status:   d.Status,
+		Status:   func() operator.Status { return d.Status(d.caller.Open()) },
 	})
 }
 
-// vm returns this daemon's VM as its settings describe it.
-func (d *Daemon) vm() wigeonladder.VM {
-	return wigeonladder.VM{
-		Name:   d.settings.Name,
-		Zone:   d.settings.Zone,
-		Peer:   d.settings.Peer,
-		Caller: d.settings.Caller,
-	}
-}
-
-// kind returns the kind of a service in force.
-func (d *Daemon) kind(service string) wigeonladder.Kind {
-	s, _ := d.watcher.Config().Register.Service(service)
-	return s.Kind
-}
-
-// server finds a backend server by its name.
-func (d *Daemon) server(name string) (wigeonladder.Server, bool) {
-	for _, v := range d.watcher.Config().Register.Services {
-		for _, s := range v.Servers {
-			if s.Name == name {
-				return s, true
-			}
-		}
-	}
-	return wigeonladder.Server{}, false
-}
-
-// countSlots counts the slots of the servers whose home is this daemon. Other
-// homes scale their extrapolation by it.
-func (d *Daemon) countSlots() {
-	n := 0
-	for _, v := range d.watcher.Config().Register.Services {
-		for _, s := range v.Servers {
-			if vm, ok := d.mesh.HomeOf(s); ok && vm == d.settings.Name {
-				n += s.Slots
-			}
-		}
-	}
-	d.slots.Store(int64(n))
-}
-
 // Done is closed when the daemon has ended.
 func (d *Daemon) Done() <-chan struct{} { return d.done }
 
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -11,8 +10,6 @@
 
 // stages are the steps of a graceful stop.
 type stages struct {
-	once  sync.Once
-	start chan struct{}
 	// draining tells the load balancer and the peers; requests are served.
 	draining atomic.Bool
 	// refusing refuses new requests.
@@ -29,19 +26,19 @@
 	farewell = time.Second
 )
 
+// Front takes the requests of callers.
+type Front interface {
+	// Open returns the number of open requests.
+	Open() int
+	// Shutdown waits for the open requests; the end of the context cuts them
+	// off.
+	Shutdown(ctx context.Context) error
+}
+
 // Drain starts a graceful stop; more calls change nothing. Done is closed at
 // its end.
 func (d *Daemon) Drain() {
-	d.stages.once.Do(func() { close(d.stages.start) })
-}
-
-// Status tells how far a graceful stop is.
-func (d *Daemon) Status() operator.Status {
-	return operator.Status{
-		Draining: d.stages.draining.Load(),
-		Open:     d.caller.Open() + d.book.Running(),
-		Done:     d.stages.finished.Load(),
-	}
+	d.once.Do(func() { close(d.start) })
 }
 
 // live waits for the end of the context or a graceful stop, and ends all parts.
@@ -50,15 +47,31 @@
 	select {
 	case <-ctx.Done():
 		return
-	case <-d.stages.start:
+	case <-d.start:
+	}
+	d.Stop(ctx, d.caller)
+}
+
+// Draining reports whether load balancers should send no more.
+func (d *Core) Draining() bool { return d.stages.draining.Load() }
+
+// Refusing reports whether new requests are refused.
+func (d *Core) Refusing() bool { return d.stages.refusing.Load() }
+
+// Status tells how far a graceful stop is, given the number of open requests.
+func (d *Core) Status(open int) operator.Status {
+	return operator.Status{
+		Draining: d.stages.draining.Load(),
+		Open:     open + d.book.Running(),
+		Done:     d.stages.finished.Load(),
 	}
-	d.stop(ctx)
 }
 
-// stop is the graceful stop: tell everyone, serve for the lead time, refuse new
-// requests, wait for the running ones.
-func (d *Daemon) stop(ctx context.Context) {
-	d.journal.Note("", "draining", "open", d.caller.Open())
+// Stop is the graceful stop: tell everyone, serve for the lead time, refuse new
+// requests, wait for the running ones. The caller ends the context of the core
+// after it.
+func (d *Core) Stop(ctx context.Context, f Front) {
+	d.journal.Note("", "draining", "open", f.Open())
 	d.stages.draining.Store(true)
 	d.mesh.SetDraining(true)
 	d.mesh.Spread()
@@ -67,8 +80,8 @@
 	d.book.Seal()
 	end, cancel := context.WithTimeout(ctx, time.Duration(d.settings.DrainLimit))
 	defer cancel()
-	if err := d.caller.Shutdown(end); err != nil {
-		d.journal.Note("", "drain_limit", "open", d.caller.Open(), "error", err)
+	if err := f.Shutdown(end); err != nil {
+		d.journal.Note("", "drain_limit", "open", f.Open(), "error", err)
 	}
 	for d.book.Running() > 0 && end.Err() == nil {
 		pause(end, ticketPoll)
--- a/daemon/dump.go
+++ b/daemon/dump.go
@@ -30,12 +30,15 @@
 }
 
 // Dump returns the state of the daemon.
-func (d *Daemon) Dump() Dump {
+func (d *Daemon) Dump() Dump { return d.Core.Dump(d.caller.Open()) }
+
+// Dump returns the state of the core, given the number of open requests.
+func (d *Core) Dump(open int) Dump {
 	return Dump{
 		Name:        d.settings.Name,
 		Zone:        d.settings.Zone,
 		Incarnation: d.incarnation,
-		Stop:        d.Status(),
+		Stop:        d.Status(open),
 		Config:      d.watcher.Dump(),
 		Members:     d.mesh.Members(),
 		Links:       d.mesh.Dump(),
@@ -46,9 +49,6 @@
 	}
 }
 
-// Traffic returns the control traffic since the start.
-func (d *Daemon) Traffic() peer.Traffic { return d.mesh.Traffic() }
-
 // Metrics returns the metrics under their stable names. docs/OPERATORS.md
 // describes them.
 func (d *Daemon) Metrics() *expvar.Map {
@@ -74,7 +74,7 @@
 	Demands int `json:"demands"`
 }
 
-func (d *Daemon) homeMetrics() HomeMetrics {
+func (d *Core) homeMetrics() HomeMetrics {
 	h := d.ledger.Dump()
 	m := HomeMetrics{Servers: len(h.Servers), Demands: len(h.Demands)}
 	for _, s := range h.Servers {
