campaign: judge tickets by the final answer of their caller; shorter traces

A caller that sends through two daemons at once may get 203 from one and the answer from the other; only its last answer counts. Every single sending was judged before.

--- a/campaign/check.go
+++ b/campaign/check.go
@@ -1,6 +1,8 @@
 package campaign
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -152,30 +154,42 @@
 		runs[e.call] = append(runs[e.call], e)
 		byRequest[e.request] = true
 	}
-	for name, l := range runs {
-		c := f.calls[name]
+	for _, name := range slices.Sorted(maps.Keys(runs)) {
+		c, l := f.calls[name], runs[name]
 		if c.once && len(l) > 1 {
-			f.history.violate(checkDoubled, name, "%d executions", len(l))
+			f.history.violateAt(l[1].at, checkDoubled, name, "%d executions", len(l))
 		}
 		if c.crash {
 			f.judgeCrash(c, l)
 		}
+		if c.once {
+			f.judgeFinal(c, l)
+		}
 	}
 	for _, s := range f.history.sendings {
 		f.judgeAnswer(s)
 		f.judgeWait(s)
-		ran := byRequest[s.request]
-		if s.call.once {
-			ran = len(runs[s.call.name]) > 0
-		}
-		if s.code.Fact().Outcome == wigeonladder.NotRun && ran {
-			f.history.violate(checkNotRun, s.call.name, "%s ends with %v but it executed", s.request, s.code)
+		if !s.call.once && s.code.Fact().Outcome == wigeonladder.NotRun && byRequest[s.request] {
+			f.history.violateAt(s.end, checkNotRun, s.call.name, "%s ends with %v but it executed", s.request, s.code)
 		}
 	}
 	f.history.count("executions", len(f.history.executions))
 	f.history.count("sendings", len(f.history.sendings))
 }
 
+// judgeFinal checks the final answer to a ticket whose call executed. A caller
+// that sends through two daemons at once goes by the better of the two answers.
+func (f *fleet) judgeFinal(c *call, l []execution) {
+	if c.final == nil {
+		return
+	}
+	f.history.count("final answers to executed tickets", 1)
+	if c.final.code.Fact().Outcome == wigeonladder.NotRun {
+		f.history.violateAt(c.final.end, checkNotRun, c.name, "the final answer %s is %v but it executed at %.3fs on %s",
+			c.final.request, c.final.code, l[0].at.Sub(f.history.start).Seconds(), l[0].server)
+	}
+}
+
 // judgeCrash checks how many servers a crashing request broke.
 func (f *fleet) judgeCrash(c *call, l []execution) {
 	servers := map[string]bool{}
@@ -191,7 +205,7 @@
 		f.history.count("crashing requests beyond two servers during splits", 1)
 		return
 	}
-	f.history.violate(checkCrash, c.name, "%d servers were lost", len(servers))
+	f.history.violateAt(l[2].at, checkCrash, c.name, "%d servers were lost", len(servers))
 }
 
 // judgeAnswer checks that the answer is the caller's own and complete.
@@ -199,7 +213,7 @@
 	complete := len(s.body) == s.call.tokens
 	for i, part := range s.body {
 		if part != s.call.part(i) {
-			f.history.violate(checkCrossed, s.call.name, "%s got %q as part %d", s.request, part, i)
+			f.history.violateAt(s.end, checkCrossed, s.call.name, "%s got %q as part %d", s.request, part, i)
 			return
 		}
 	}
@@ -208,7 +222,7 @@
 	}
 	f.history.count("complete answers", 1)
 	if !complete {
-		f.history.violate(checkCrossed, s.call.name, "%s got %d of %d parts as complete: %s",
+		f.history.violateAt(s.end, checkCrossed, s.call.name, "%s got %d of %d parts as complete: %s",
 			s.request, len(s.body), s.call.tokens, strings.Join(s.body, " "))
 	}
 }
@@ -218,6 +232,6 @@
 	took := s.end.Sub(s.start)
 	f.history.peak("longest request in ms", int(took.Milliseconds()))
 	if took > maxWait+waitMargin {
-		f.history.violate(checkWait, s.call.name, "%s took %v", s.request, took)
+		f.history.violateAt(s.end, checkWait, s.call.name, "%s took %v", s.request, took)
 	}
 }
--- a/campaign/fault.go
+++ b/campaign/fault.go
@@ -224,7 +224,7 @@
 
 func beginCrash(f *fleet, p fault) (string, func()) {
 	s := f.server(p.pick)
-	s.crash("fault")
+	s.crash("", "fault")
 	return s.spec.Name, func() { sleep(f.ctx, restartAfter) }
 }
 
--- a/campaign/load.go
+++ b/campaign/load.go
@@ -27,6 +27,8 @@
 	twin bool
 	// disturbed is true if daemons could not all talk while it was sent.
 	disturbed bool
+	// final is the last answer to a ticket.
+	final *sending
 	// leaves is when the caller goes away; 0 if it stays.
 	leaves time.Duration
 }
@@ -54,7 +56,7 @@
 			c.at, c.workspace = span*time.Duration(1+r.IntN(bursts))/(bursts+1), workspaceName(0)
 		}
 		switch k := r.IntN(100); {
-		case k < 2:
+		case k < 1:
 			c.crash = true
 		case k < 35:
 			c.service, c.path, c.once, c.tokens = servicePlain, pathOnce, true, 1
@@ -108,15 +110,9 @@
 		return
 	}
 	for range resends {
-		if c.twin {
-			var other sync.WaitGroup
-			other.Go(func() { f.send(f.pick(), c, ticket) })
-			s := f.send(f.pick(), c, ticket)
-			other.Wait()
-			if final(s) {
-				return
-			}
-		} else if final(f.send(f.pick(), c, ticket)) {
+		s := f.sendOnce(c, ticket)
+		if final(s) {
+			c.final = s
 			return
 		}
 		f.rest()
@@ -124,6 +120,27 @@
 	f.history.violate(checkWait, c.name, "no final answer after %d sendings", resends)
 }
 
+// sendOnce sends through one daemon or, for a twin, through two at once, and
+// returns the answer by which the caller goes: an answer that leaves something
+// open counts more than "not run", and a complete answer counts most.
+func (f *fleet) sendOnce(c *call, ticket string) *sending {
+	if !c.twin {
+		return f.send(f.pick(), c, ticket)
+	}
+	var other sync.WaitGroup
+	var b *sending
+	other.Go(func() { b = f.send(f.pick(), c, ticket) })
+	a := f.send(f.pick(), c, ticket)
+	other.Wait()
+	if a.code == wigeonladder.CodeOK || b.code != wigeonladder.CodeOK && !final(a) {
+		return a
+	}
+	if a.code.Fact().Outcome == wigeonladder.NotRun || b.code == wigeonladder.CodeOK {
+		return b
+	}
+	return a
+}
+
 // issue gets a ticket from any daemon.
 func (f *fleet) issue(c *call) string {
 	for range resends {
--- a/campaign/server.go
+++ b/campaign/server.go
@@ -72,13 +72,13 @@
 }
 
 // crash ends all work of the server and stops it for a while.
-func (s *server) crash(why string) {
+func (s *server) crash(subject, why string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
 		return
 	}
-	s.history.note("", "%s crashes: %s", s.spec.Name, why)
+	s.history.note(subject, "%s crashes: %s", s.spec.Name, why)
 	s.down = true
 	s.crashed()
 	time.AfterFunc(restartAfter, s.restart)
@@ -151,7 +151,7 @@
 func (s *server) work(ctx context.Context, c *call, a wigeonladder.Attempt, m mode, out chan<- reply) *wigeonladder.Error {
 	if c.crash {
 		sleep(ctx, crashAfter)
-		s.crash("runs " + c.name)
+		s.crash(c.name, "runs "+c.name)
 		return broken(s.spec.Name, "reset")
 	}
 	if m == modeCross {
