contract: circuit breaker for servers that cannot be reached

Cause: after a zone cut the daemons of the other side become homes of its servers. A server that fails at once always has free slots, so that it got most of the work.

Rule: an attempt that ended with 301 or 306 keeps the server from its entry only, with a probe after 1 to 8 s. The server is closed to everybody when the home does not reach it either: a load report fails after such an attempt, or reports fail and nothing showed the server alive for 2 s. One good load report or one answered probe opens it. A gained server must answer a report first.

Releases carry the result code (Usage.Code). Requests and demand rows name servers to avoid (Avoid); a home grants them only if no other is free. The runner fills it with the servers that failed the request. Code 205 carries RetryAfter.

--- a/contract/demand.go
+++ b/contract/demand.go
@@ -25,6 +25,7 @@
 	head     time.Time
 	estimate int64
 	prefix   uint64
+	avoid    []string
 	// version counts the reports, to tell whether a report may already take a
 	// grant into account.
 	version uint64
@@ -32,6 +33,11 @@
 	index int
 }
 
+// need returns what a grant for the demand must fit.
+func (d *demand) need(preferred string) need {
+	return need{model: d.model, vm: d.entry, avoid: d.avoid, preferred: preferred}
+}
+
 // open returns how many grants the demand may still get.
 func (d *demand) open() int { return max(0, d.waiting-d.inFlight) }
 
@@ -97,7 +103,16 @@
 		if n.Len() == 0 || p.best(model) == nil {
 			continue
 		}
-		d := (*n)[0]
+		i, ok := topmost(*n, 0, n.Less, func(d *demand) int {
+			if s, _ := p.pick(d.need("")); s == nil {
+				return skip
+			}
+			return take
+		})
+		if !ok {
+			continue
+		}
+		d := (*n)[i]
 		if first == nil || d.compare(first) < 0 {
 			first = d
 		}
@@ -203,6 +218,7 @@
 	d.head = now.Add(-time.Duration(r.Oldest) * time.Millisecond)
 	d.estimate = r.Estimate
 	d.prefix = r.Prefix
+	d.avoid = r.Avoid
 	l.setWaiting(d, max(0, r.Waiting))
 }
 
--- a/contract/dump.go
+++ b/contract/dump.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -31,6 +32,10 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Takeover is true while the home waits for renewals.
 	Takeover bool `json:"takeover,omitempty"`
+	// Shut is true while the home does not reach the server.
+	Shut bool `json:"shut,omitempty"`
+	// Blocked names the entries that did not reach the server.
+	Blocked []string `json:"blocked,omitempty"`
 }
 
 // ContractDump is one contract that occupies a slot.
@@ -110,6 +115,8 @@
 		Foreign:  s.foreign,
 		Leaving:  s.leaving,
 		Takeover: s.waiting,
+		Shut:     s.all != nil,
+		Blocked:  slices.Sorted(maps.Keys(s.byEntry)),
 	}
 }
 
--- a/contract/grant.go
+++ b/contract/grant.go
@@ -54,7 +54,7 @@
 	if preferred == "" {
 		preferred = p.affinity.Server(d.Prefix)
 	}
-	s, reason := p.pick(d.Model, preferred)
+	s, reason := p.pick(need{model: d.Model, vm: a.Entry, avoid: d.Avoid, preferred: preferred})
 	if s == nil || l.paused() {
 		l.o.Journal.Note("", "refused", "entry", a.Entry, "service", d.Service,
 			"workspace", d.Workspace, "reason", "no free slot")
@@ -79,6 +79,11 @@
 	}
 	l.leases[c.ID] = &lease{contract: c, server: s, charged: estimate, renewed: time.Now()}
 	s.inUse++
+	s.byEntry[vm].granted(c.ID)
+	if s.probing {
+		s.all.granted(c.ID)
+		s.probing = false
+	}
 	s.fix()
 	l.o.Shares.Charge(c.Service, workspace, estimate)
 	return c
@@ -96,7 +101,7 @@
 		if d == nil {
 			return
 		}
-		s, reason := p.pick(d.model, p.affinity.Server(d.prefix))
+		s, reason := p.pick(d.need(p.affinity.Server(d.prefix)))
 		c := l.grant(s, w, d.entry, d.estimate)
 		p.affinity.Set(d.prefix, s.Name)
 		d.inFlight++
--- a/contract/ledger.go
+++ b/contract/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -34,6 +35,8 @@
 	Load func(context.Context, wigeonladder.Server) (wigeonladder.Load, error)
 	// Incarnation names this run of the daemon and is unique in the fleet.
 	Incarnation string
+	// Seed seeds the jitter of circuit breakers.
+	Seed uint64
 	// Journal may be nil.
 	Journal wigeonladder.Journal
 }
@@ -54,6 +57,7 @@
 	entries map[string]*entry
 	members []string
 	ended   tombs
+	random  *rand.Rand
 	number  uint64
 	// beat is the time of the last tick.
 	beat time.Time
@@ -91,7 +95,9 @@
 		leases:  map[wigeonladder.ContractID]*lease{},
 		entries: map[string]*entry{},
 		beat:    time.Now(),
+		random:  rand.New(rand.NewPCG(o.Seed, 2)),
 	}
+	o.Journal.Note("", "ledger_start", "seed", o.Seed)
 	l.refresh()
 	go func() {
 		t := time.NewTicker(tick)
--- a/contract/ledger_test.go
+++ b/contract/ledger_test.go
@@ -49,6 +49,7 @@
 	entries map[string]*recorder
 	mu      sync.Mutex
 	load    wigeonladder.Load
+	loadErr error
 	stop    context.CancelFunc
 }
 
@@ -81,7 +82,7 @@
 		Load: func(context.Context, wigeonladder.Server) (wigeonladder.Load, error) {
 			b.mu.Lock()
 			defer b.mu.Unlock()
-			return b.load, nil
+			return b.load, b.loadErr
 		},
 	})
 	for _, vm := range []string{"e1", "e2"} {
--- a/contract/load.go
+++ b/contract/load.go
@@ -50,6 +50,23 @@
 	group.Wait()
 }
 
+// askLoad asks one server for its report outside the period. Its figures are
+// not used, as the windows of known work count whole periods.
+func (l *Ledger) askLoad(s wigeonladder.Server) {
+	ctx, cancel := context.WithTimeout(l.ctx, loadPeriod)
+	defer cancel()
+	_, err := l.o.Load(ctx, s)
+	now := time.Now()
+	l.mu.Lock()
+	var out outbox
+	if own := l.servers[s.Name]; own != nil && l.ctx.Err() == nil {
+		l.sighted(own, err == nil, now)
+		l.dispatch(own.pool, &out)
+	}
+	l.mu.Unlock()
+	l.send(out)
+}
+
 // applyLoad lowers the free slots of a server by the work that it reports and
 // this home does not know. Contracts that ended within the last windows still
 // count as known, as the report lags.
@@ -68,6 +85,9 @@
 			s.foreign = 0
 		}
 		s.fix()
+		if l.ctx.Err() == nil {
+			l.sighted(s, ok, now)
+		}
 		l.dispatch(s.pool, &out)
 	}
 	l.mu.Unlock()
--- a/contract/renew.go
+++ b/contract/renew.go
@@ -65,6 +65,9 @@
 	}
 	t.renewed = now
 	t.inUse = true
+	if h.Cost > t.cost {
+		t.server.heard = now
+	}
 	l.raise(t, h.Cost)
 }
 
@@ -111,6 +114,7 @@
 			continue
 		}
 		l.settle(t, r)
+		l.observe(t, r, now)
 		l.free(t)
 		changed[t.server.pool] = true
 	}
@@ -145,6 +149,8 @@
 func (l *Ledger) free(t *lease) {
 	delete(l.leases, t.contract.ID)
 	t.server.inUse--
+	t.server.byEntry[t.contract.Entry].ended(t.contract.ID)
+	t.server.all.ended(t.contract.ID)
 	t.server.fix()
 }
 
--- a/contract/server.go
+++ b/contract/server.go
@@ -29,7 +29,17 @@
 	answers map[string]bool
 	// released counts the releases of the current and the last load window.
 	released [2]int
-	seats    []*seat
+	// heard is when the server last gave a sign of life: a load report, or an
+	// attempt that it answered; zero if it gave none to this home. failed is when an entry last did not reach it.
+	heard, failed time.Time
+	// all is the breaker for all entries, nil while it is closed; probing is
+	// true while it lets one contract through. byEntry holds the breakers of
+	// single entries.
+	all       *breaker
+	probing   bool
+	byEntry   map[string]*breaker
+	verifying bool
+	seats     []*seat
 }
 
 // free returns the number of slots that may be granted now.
@@ -37,7 +47,14 @@
 	if s.waiting || s.leaving {
 		return 0
 	}
-	return max(0, s.limit-s.inUse-s.foreign)
+	free := max(0, s.limit-s.inUse-s.foreign)
+	switch {
+	case s.all == nil:
+		return free
+	case s.probing:
+		return min(1, free)
+	}
+	return 0
 }
 
 // has reports whether the server has a model; every server has the empty one.
@@ -158,14 +175,78 @@
 	return (*r)[0].server
 }
 
-// pick returns the preferred server if it has a free slot for the model, else
-// the one with the most free slots. The reason says which.
-func (p *pool) pick(model, preferred string) (s *server, reason string) {
-	s = p.servers[preferred]
-	if s != nil && s.has(model) && s.free() > 0 {
+// need is what a grant must fit: the model, the entry that will send, the
+// servers that the request should avoid and the one that it prefers.
+type need struct {
+	model, vm string
+	avoid     []string
+	preferred string
+}
+
+// pick returns the preferred server if it has a free slot for the need, else
+// the one with the most free slots. A server to avoid is taken only if no
+// other is free. The reason says which.
+func (p *pool) pick(n need) (s *server, reason string) {
+	now := time.Now()
+	avoided := func(s *server) bool { return slices.Contains(n.avoid, s.Name) || s.blocked(n.vm, now) }
+	s = p.servers[n.preferred]
+	if s != nil && s.has(n.model) && s.free() > 0 && !avoided(s) {
 		return s, "preferred server"
 	}
-	return p.best(model), "most free slots"
+	if s = p.bestBut(n.model, avoided); s != nil {
+		return s, "most free slots"
+	}
+	blocked := func(s *server) bool { return s.blocked(n.vm, now) }
+	return p.bestBut(n.model, blocked), "no other server is free"
+}
+
+// bestBut returns the server with the most free slots that is not left out.
+func (p *pool) bestBut(model string, leaveOut func(*server) bool) *server {
+	r := p.ranked[model]
+	if r == nil {
+		return nil
+	}
+	t, ok := topmost(*r, 0, r.Less, func(t *seat) int {
+		switch {
+		case t.server.free() == 0:
+			return stop
+		case leaveOut(t.server):
+			return skip
+		}
+		return take
+	})
+	if !ok {
+		return nil
+	}
+	return (*r)[t].server
+}
+
+// What topmost does with an element.
+const (
+	take = iota
+	skip
+	stop
+)
+
+// topmost returns the index of the first element of a heap, from index i down,
+// that is to be taken. It looks only below elements that are skipped, so that
+// its cost grows with their number and not with the size of the heap.
+func topmost[T any](h []T, i int, less func(i, j int) bool, judge func(T) int) (int, bool) {
+	if i >= len(h) {
+		return 0, false
+	}
+	switch judge(h[i]) {
+	case take:
+		return i, true
+	case stop:
+		return 0, false
+	}
+	a, okA := topmost(h, 2*i+1, less, judge)
+	b, okB := topmost(h, 2*i+2, less, judge)
+	if okB && (!okA || less(b, a)) {
+		return b, true
+	}
+	return a, okA
 }
 
 // freeFor returns the number of free slots for a model on the best server.
--- a/contract/view.go
+++ b/contract/view.go
@@ -76,6 +76,7 @@
 	}
 	for _, s := range l.servers {
 		l.admit(s, now)
+		l.probe(s, now)
 	}
 	for _, p := range l.pools {
 		l.dispatch(p, &out)
@@ -91,6 +92,7 @@
 	l.o.Journal.Note("", "resumed", "gap", gap.String())
 	for _, s := range l.servers {
 		s.await(now)
+		s.heard = now
 	}
 	for _, t := range l.leases {
 		t.renewed = now
@@ -110,10 +112,11 @@
 
 // gain starts to serve a server.
 func (l *Ledger) gain(o owned, now time.Time) {
-	s := &server{Server: o.server, limiter: l.o.Limiter(o.server)}
+	s := &server{Server: o.server, limiter: l.o.Limiter(o.server), byEntry: map[string]*breaker{}}
 	l.servers[s.Name] = s
 	l.pool(o.service).add(s)
 	s.await(now)
+	l.verify(s)
 	l.o.Journal.Note("", "takeover", "server", s.Name, "reason", "home is this daemon")
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -130,7 +130,7 @@
 		Journal:     d.journal,
 	})
 	d.backend = backend.NewClient(backend.Options{Kind: d.kind, Local: hostOf(d.settings.Peer)})
-	d.buildRoles(ctx)
+	d.buildRoles(ctx, seed)
 	if placer == nil {
 		placer = d.queue
 	}
@@ -157,7 +157,7 @@
 }
 
 // buildRoles creates the home and the entry role.
-func (d *Daemon) buildRoles(ctx context.Context) {
+func (d *Daemon) buildRoles(ctx context.Context, seed uint64) {
 	d.ledger = contract.NewLedger(ctx, contract.Options{
 		Fleet:  d.mesh,
 		Shares: d.counters,
@@ -167,6 +167,7 @@
 		},
 		Load:        d.backend.Load,
 		Incarnation: d.incarnation,
+		Seed:        seed,
 		Journal:     d.journal,
 	})
 	d.queue = entry.NewQueue(ctx, entry.Options{
--- a/demo/memory.go
+++ b/demo/memory.go
@@ -151,6 +151,10 @@
 	ctx, end := m.attempt(ctx, vm, c.Server)
 	u, err := m.pool.Do(ctx, a, &progress{placer: p, contract: c, sink: s})
 	end()
+	var e *wigeonladder.Error
+	if errors.As(err, &e) {
+		u = u.WithCode(e.Code)
+	}
 	p.Release(c, u)
 	return err
 }
--- a/entry/ask.go
+++ b/entry/ask.go
@@ -74,7 +74,7 @@
 		Server: q.prefixes(r.Service).Server(r.Prefix),
 		Demand: wigeonladder.Demand{
 			Service: r.Service, Workspace: r.Workspace, Waiting: 1, Urgency: r.Urgency,
-			Estimate: r.Estimate, Model: r.Model, Prefix: r.Prefix,
+			Estimate: r.Estimate, Model: r.Model, Prefix: r.Prefix, Avoid: r.Avoid,
 		},
 	}
 	preferred := q.view.servers[ask.Server].home
--- a/entry/contact.go
+++ b/entry/contact.go
@@ -249,6 +249,7 @@
 	d.Oldest = time.Since(w.since).Milliseconds()
 	d.Estimate = w.request.Estimate
 	d.Prefix = w.request.Prefix
+	d.Avoid = w.request.Avoid
 	return d
 }
 
--- a/entry/place.go
+++ b/entry/place.go
@@ -43,7 +43,7 @@
 	case s == nil:
 		return wigeonladder.Errorf(wigeonladder.CodeNoService, r.Service, "service is not in the register")
 	case s.servers == 0:
-		return wigeonladder.Errorf(wigeonladder.CodeNoServer, r.Service, "no live backend server")
+		return wigeonladder.Errorf(wigeonladder.CodeNoServer, r.Service, "no live backend server").WithRetryAfter(minRetry)
 	case !s.models[r.Model]:
 		return wigeonladder.Errorf(wigeonladder.CodeNoModel, r.Service, "no backend server has the model %q", r.Model)
 	}
--- a/interfaces.go
+++ b/interfaces.go
@@ -63,6 +63,8 @@
 	Model string `json:"m,omitempty"`
 	// Prefix is the prompt prefix of the head request; 0 for none.
 	Prefix uint64 `json:"p,omitempty"`
+	// Avoid names servers that the head request takes only if no other is free.
+	Avoid []string `json:"a,omitempty"`
 }
 
 // Ask requests one slot at once for a request that finds no queue.
--- a/request.go
+++ b/request.go
@@ -17,6 +17,9 @@
 	// Prefix is a hash of the start of the prompt, for prefix-cache affinity;
 	// 0 for none.
 	Prefix uint64
+	// Avoid names backend servers that failed the request. A Placer offers them
+	// only if no other is free.
+	Avoid []string
 	// Once marks a request that may not be repeated.
 	Once bool
 	// Ticket is the ticket presented with a request that may not be repeated.
@@ -45,6 +48,12 @@
 	return r
 }
 
+// WithAvoid returns a copy of the request that avoids backend servers.
+func (r Request) WithAvoid(servers []string) Request {
+	r.Avoid = servers
+	return r
+}
+
 // Attempt is one sending of a request to one backend server.
 type Attempt struct {
 	Request Request
@@ -62,13 +71,22 @@
 // Usage is what an attempt consumed.
 type Usage struct {
 	// Cost is the service in cost units; tokens for models.
-	Cost int64
+	Cost int64 `json:"c,omitempty"`
 	// FirstToken is the time from sending to the first token or byte.
-	FirstToken time.Duration
+	FirstToken time.Duration `json:"f,omitempty"`
 	// InterToken is the mean time between tokens; 0 with fewer than two.
-	InterToken time.Duration
+	InterToken time.Duration `json:"i,omitempty"`
 	// Failed is true if the attempt did not end with a complete answer.
-	Failed bool
+	Failed bool `json:"x,omitempty"`
+	// Code is the result code of the attempt. Homes learn from it which servers
+	// cannot be reached.
+	Code Code `json:"o,omitempty"`
+}
+
+// WithCode returns a copy of the usage with a result code.
+func (u Usage) WithCode(c Code) Usage {
+	u.Code = c
+	return u
 }
 
 // Load is a backend server's own, lagging report.
--- a/retry/job.go
+++ b/retry/job.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -76,7 +78,7 @@
 		return finish, classify(ctx, err, false, false)
 	}
 	defer leave()
-	c, err := j.n.o.Placer.Place(ctx, j.r)
+	c, err := j.n.o.Placer.Place(ctx, j.r.WithAvoid(slices.Sorted(maps.Keys(j.avoid))))
 	if err != nil {
 		return finish, classify(ctx, err, false, false)
 	}
@@ -147,6 +149,9 @@
 		*used = wigeonladder.Usage{}
 	}
 	e := classify(ctx, err, passed, j.out.touched)
+	if *used != (wigeonladder.Usage{}) {
+		*used = used.WithCode(e.Code)
+	}
 	j.blame(ctx, server.Name, e)
 	j.shun(server.Name, e)
 	return judge, e
