--- a/contract/breaker_test.go
+++ b/contract/breaker_test.go
@@ -108,6 +108,7 @@
 		b.is.Equal(len(b.entries["e2"].got), 1)
 		b.release(b.entries["e2"].got[0], 1, false)
 		time.Sleep(breakMin + tick)
+		synctest.Wait()
 		b.is.Equal(len(b.entries["e1"].got), 1) // the probe
 	}, 1)
 }
