--- a/daemon/core.go
+++ b/daemon/core.go
@@ -121,7 +121,7 @@
 		Seed:        o.Seed,
 	})
 	d.backend = o.Backend(d.kind)
-	d.buildRoles(ctx)
+	d.buildRoles(ctx, o.Seed)
 	placer := o.Placer
 	if placer == nil {
 		placer = d.queue
@@ -149,7 +149,7 @@
 }
 
 // buildRoles creates the home and the entry role.
-func (d *Core) buildRoles(ctx context.Context) {
+func (d *Core) buildRoles(ctx context.Context, seed uint64) {
 	d.ledger = contract.NewLedger(ctx, contract.Options{
 		Fleet:  d.mesh,
 		Shares: d.counters,
@@ -158,6 +158,7 @@
 			return limit.New(s.Slots, s.MaxSlots)
 		},
 		Load:        d.backend.Load,
+		Seed:        seed,
 		Incarnation: d.incarnation,
 		Journal:     d.journal,
 	})
