--- a/demo/bound.go
+++ b/demo/bound.go
@@ -9,9 +9,9 @@
 type BoundTerms struct {
 	// Largest is C, the largest charge of one request in cost units.
 	Largest float64
-	// Undelivered is U: the largest difference between what one workspace was
-	// charged and what it was delivered, in cost units. It covers all running
-	// requests of the workspace, not only one.
+	// Undelivered is U: the difference between what the running requests of one
+	// workspace were charged at their grants and what they were delivered, either
+	// way, in cost units. It covers all of them, not only one.
 	Undelivered float64
 	// Rate is R, the rate of charging over the fleet in cost units per second.
 	Rate float64
@@ -72,13 +72,15 @@
 // WaitBound returns how long a backlogged workspace of the given weight waits at
 // most for a grant. Before it is chosen, every other workspace j is charged at
 // most C for the grant that began ahead of it, w_j*C/weight for the workspace's
-// own lead of one charge, and w_j*R(T+d)/w by homes that have not heard of it.
-// Charging lags behind R by at most the work that was charged before and is
-// delivered meanwhile.
+// own lead of one charge, w_j*U/w for its lead by requests that cost more than
+// was charged, and w_j*R(T+d)/w by homes that have not heard of it. Charging lags
+// behind R by at most the work that was charged before and is delivered
+// meanwhile. The sum of w_j*U/w over the workspaces is AllUndelivered, so that
+// term counts twice. Like U it is a mean.
 func (s Site) WaitBound(b BoundTerms, weight float64) time.Duration {
 	stale := b.Rate * (b.Period + b.Delay).Seconds() / b.Weight
 	others := workspaceSize*b.Largest + s.weights()*(b.Largest/weight+stale)
-	return time.Duration((others + s.AllUndelivered()) / b.Rate * float64(time.Second))
+	return time.Duration((others + 2*s.AllUndelivered()) / b.Rate * float64(time.Second))
 }
 
 // Claim is what one workspace wants of a service.
