--- a/demo/compare_test.go
+++ b/demo/compare_test.go
@@ -19,6 +19,7 @@
 var (
 	seedCount = flag.Int("seeds", 0, "number of seeds of the full comparison; 0 for the short one")
 	which     = flag.String("policies", "alone,split,central,fleet", "policies of the full comparison")
+	unitFlag  = flag.Duration("unit", unit, "time T of the full comparison")
 	only      = flag.String("only", "", "part of the names of the workloads of the full comparison")
 )
 
@@ -65,19 +66,22 @@
 	case "central":
 		return policy.NewCentral(m.Options(queueBound))
 	}
-	o.Bound, o.Period = queueBound, period
+	o.Bound = queueBound
+	if o.Period == 0 {
+		o.Period = period
+	}
 	return NewFleet(ctx, m, o)
 }
 
-// compare runs all policies with the same seeds, in parallel.
-func compare(t *testing.T, s Site, w Workload, seeds int) []result {
+// compare runs policies with the same seeds, in parallel.
+func compare(t *testing.T, s Site, w Workload, seeds int, names []string) []result {
 	t.Helper()
 	var (
 		mu   sync.Mutex
 		list []result
 	)
 	t.Run(s.Name+" "+w.Name, func(t *testing.T) {
-		for _, name := range policies() {
+		for _, name := range names {
 			for seed := range uint64(seeds) {
 				t.Run(fmt.Sprintf("%s seed %d", name, seed+1), func(t *testing.T) {
 					t.Parallel()
@@ -156,7 +160,8 @@
 			if !strings.Contains(s.Name+" "+w.Name, *only) {
 				continue
 			}
-			table(s, w, compare(t, s, w, *seedCount))
+			w = w.WithTimes(w.Warm, *unitFlag)
+			table(s, w, compare(t, s, w, *seedCount, policies()))
 		}
 	}
 }
