fake, standin: one caller stand-in

standin/caller.go and fake/client.go read answers twice, with different checks. fake.Client is now the only one: contexts, a call-back for each token, whole and stream answers, tickets, readiness. Every request is sent once, and a stream that ends without an end mark or an error event is an error in all tests. Late answers are bounded by 10 minutes in all instead of 120 s to the header, because a long stream counts too.

--- a/caller/bench_test.go
+++ b/caller/bench_test.go
@@ -43,10 +43,10 @@
 // firstByte sends a chat request and returns the time to its first event.
 func firstByte(b *testing.B, c *fake.Client) time.Duration {
 	a := c.Chat(context.Background(), chatJSON("hello", 8, true))
-	if _, complete := a.Text(); !complete {
+	if !a.Complete {
 		b.Fatal(a)
 	}
-	return a.FirstByte
+	return a.First
 }
 
 // BenchmarkOpenStreams measures the memory of open streams. The engines and the
@@ -64,7 +64,7 @@
 				r.engine.SetFaults(fake.EngineFaults{StallAfter: 3})
 				address := r.engine.Address()
 				if c.fleet {
-					address = r.caller.URL[len("http://"):]
+					address = r.caller.Address
 				}
 				before := memory()
 				conns := openStreams(b, address, streams)
--- a/caller/gone_test.go
+++ b/caller/gone_test.go
@@ -19,7 +19,7 @@
 // dialRaw sends the bytes of a request on a connection of its own.
 func dialRaw(t *testing.T, r *rig, request string) net.Conn {
 	t.Helper()
-	c, err := net.Dial("tcp", r.caller.URL[len("http://"):])
+	c, err := net.Dial("tcp", r.caller.Address)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/caller/loop_test.go
+++ b/caller/loop_test.go
@@ -91,9 +91,9 @@
 	is := is.New(t)
 	is.NoErr(a.Err)
 	is.Equal(a.Status, 200)
-	text, complete := a.Text()
-	is.True(!complete)
-	is.True(text != "" && text != whole)
+	is.Equal(a.Code, c)
+	is.True(!a.Complete)
+	is.True(a.Text != "" && a.Text != whole)
 	is.True(strings.Contains(a.Body, fmt.Sprintf("event: error\ndata: {\"code\":%d,", int(c))))
 }
 
@@ -140,11 +140,10 @@
 		g.Go(func() {
 			body := chatJSON(fmt.Sprint("mixed ", n), 12, n%2 == 0)
 			a := r.chat(body)
-			text, complete := a.Text()
 			switch {
-			case complete && text == fake.Answer([]byte(body)):
+			case a.Complete && a.Text == fake.Answer([]byte(body)):
 				whole.Add(1)
-			case !complete && (a.Status != 200 || strings.Contains(a.Body, "event: error")):
+			case !a.Complete && (a.Status != 200 || strings.Contains(a.Body, "event: error")):
 				broken.Add(1)
 			default:
 				t.Errorf("%d: got %d %v %.300q", n, a.Status, a.Err, a.Body)
--- a/caller/rig_test.go
+++ b/caller/rig_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -150,16 +149,14 @@
 	if a.Close {
 		a.Header.Set("Connection", "close") // net/http has removed it
 	}
-	b, err := io.ReadAll(a.Body)
-	return fake.Reply{Status: a.StatusCode, Header: a.Header, Body: string(b), Err: err}
+	return fake.ReadReply(a, time.Now(), nil)
 }
 
 // wantAnswer asserts the complete answer of the engine to a body.
 func wantAnswer(t *testing.T, a fake.Reply, body string) {
 	t.Helper()
-	text, complete := a.Text()
-	if a.Err != nil || a.Status != 200 || !complete || text != fake.Answer([]byte(body)) {
-		t.Errorf("%.60q: got %d %v complete=%v %.300q", body, a.Status, a.Err, complete, a.Body)
+	if a.Err != nil || a.Status != 200 || !a.Complete || a.Text != fake.Answer([]byte(body)) {
+		t.Errorf("%.60q: got %d %v complete=%v %.300q", body, a.Status, a.Err, a.Complete, a.Body)
 	}
 }
 
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -206,7 +206,7 @@
 		is.NoErr(r.server.Shutdown(t.Context()))
 		is.Equal(r.server.Open(), 0)
 		wantAnswer(t, within(t, got, "the answer"), body)
-		_, err := net.Dial("tcp", r.caller.URL[len("http://"):])
+		_, err := net.Dial("tcp", r.caller.Address)
 		is.True(err != nil)
 	})
 	for _, name := range []string{"limit", "context"} {
--- a/caller/shutdown_test.go
+++ b/caller/shutdown_test.go
@@ -100,7 +100,7 @@
 	is := is.New(t)
 	is.NoErr(c.Close())
 	is.NoErr(within(t, ended, "the shutdown ends"))
-	_, err := net.Dial("tcp", r.caller.URL[len("http://"):])
+	_, err := net.Dial("tcp", r.caller.Address)
 	is.True(err != nil)
 }
 
@@ -130,7 +130,7 @@
 	started := sync.OnceFunc(first)
 	defer started()
 	const body = "x"
-	c, err := net.Dial("tcp", r.caller.URL[len("http://"):])
+	c, err := net.Dial("tcp", r.caller.Address)
 	if err != nil {
 		t.Error(err)
 		return
--- a/cmd/wigeonladder/script_test.go
+++ b/cmd/wigeonladder/script_test.go
@@ -141,7 +141,7 @@
 	c := standin.NewCaller("none")
 	for _, address := range args {
 		until(ts, "ready "+address, func() error {
-			if c.Ready(context.Background(), address) == neg {
+			if c.WithAddress(address).Ready(context.Background()) == neg {
 				return fmt.Errorf("ready is %t", neg)
 			}
 			return nil
@@ -266,11 +266,11 @@
 	if len(args) != 7 {
 		ts.Fatalf("usage: once CODE ENTRY WORKSPACE SERVICE PATH TICKET BODY")
 	}
-	c := standin.NewCaller(standin.KeyOf(args[2]))
+	c := standin.NewCaller(standin.KeyOf(args[2])).WithAddress(args[1])
 	until(ts, "once", func() error {
-		r, err := c.Plain(context.Background(), args[1], "POST", args[3], args[4], args[5], []byte(args[6]))
-		if err != nil {
-			return err
+		r := c.Plain(context.Background(), "POST", args[3], args[4], args[5], args[6])
+		if r.Err != nil {
+			return r.Err
 		}
 		if fmt.Sprint(int(r.Code)) != args[0] {
 			return fmt.Errorf("the code is %v", r.Code)
--- a/demo/result.go
+++ b/demo/result.go
@@ -165,19 +165,19 @@
 				if !sleep(ctx, w.Length()/time.Duration(2*onceCalls*len(r.site.Register.Workspaces))) {
 					return
 				}
-				caller := r.callers[workspace.Name]
-				first, second := r.entries[vms[j%len(vms)].Name], r.entries[vms[(j+1)%len(vms)].Name]
-				ticket, err := caller.Ticket(ctx, first, r.site.Plain, "POST", path)
+				first := r.callers[workspace.Name].WithAddress(r.entries[vms[j%len(vms)].Name])
+				second := first.WithAddress(r.entries[vms[(j+1)%len(vms)].Name])
+				ticket, err := first.Ticket(ctx, r.site.Plain, "POST", path)
 				if err != nil {
 					continue
 				}
-				body := fmt.Appendf(nil, "%s %d %d", workspace.Name, i, seed)
+				body := fmt.Sprintf("%s %d %d", workspace.Name, i, seed)
 				again := make(chan struct{})
 				go func() {
 					defer close(again)
-					_, _ = caller.Plain(ctx, second, "POST", r.site.Plain, path, ticket, body)
+					_ = second.Plain(ctx, "POST", r.site.Plain, path, ticket, body)
 				}()
-				_, _ = caller.Plain(ctx, first, "POST", r.site.Plain, path, ticket, body)
+				_ = first.Plain(ctx, "POST", r.site.Plain, path, ticket, body)
 				<-again
 			}
 		}
--- a/demo/rig.go
+++ b/demo/rig.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -41,7 +42,7 @@
 	stand  *standin.Stand
 	policy policy.Policy
 
-	callers map[string]*standin.Caller
+	callers map[string]*fake.Client
 	entries map[string]string
 
 	mu      sync.Mutex
@@ -67,7 +68,7 @@
 	r := &Rig{
 		ctx:     ctx,
 		site:    s,
-		callers: map[string]*standin.Caller{},
+		callers: map[string]*fake.Client{},
 		entries: map[string]string{},
 		daemons: map[string]*running{},
 	}
@@ -140,7 +141,7 @@
 	defer cancel()
 	c := standin.NewCaller("")
 	for vm, entry := range r.entries {
-		for !c.Ready(ctx, entry) {
+		for !c.WithAddress(entry).Ready(ctx) {
 			if !sleep(ctx, rigPoll) {
 				return errors.Errorf("daemon %s was not ready within %v", vm, rigStart)
 			}
@@ -172,30 +173,31 @@
 // Send implements Target: it calls the entry daemon over HTTP and compares the
 // whole answer with what the request must give.
 func (r *Rig) Send(ctx context.Context, vm string, q wigeonladder.Request, s wigeonladder.Sink) error {
-	caller, entry := r.callers[q.Workspace], r.entries[vm]
+	caller := r.callers[q.Workspace].WithAddress(r.entries[vm])
 	if q.Service == r.site.Plain {
-		return r.sendPlain(ctx, caller, entry, q, s)
+		return r.sendPlain(ctx, caller, q, s)
 	}
 	first := true
-	reply, err := caller.ChatEach(ctx, entry, q.Body, q.Estimate, func() {
+	caller = caller.WithEach(func() {
 		if first {
 			first = false
 			_ = s.Start(200, "text/event-stream")
 		}
 		_ = s.Write(nil, 1)
 	})
+	reply := caller.Chat(ctx, string(q.Body), "X-Cost-Hint", strconv.FormatInt(q.Estimate, 10))
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	return r.judge(reply, err, fake.Answer(q.Body))
+	return r.judge(reply, fake.Answer(q.Body))
 }
 
-func (r *Rig) sendPlain(ctx context.Context, caller *standin.Caller, entry string, q wigeonladder.Request, s wigeonladder.Sink) error {
-	reply, err := caller.Plain(ctx, entry, q.Method, q.Service, q.Path, "", q.Body)
+func (r *Rig) sendPlain(ctx context.Context, caller *fake.Client, q wigeonladder.Request, s wigeonladder.Sink) error {
+	reply := caller.Plain(ctx, q.Method, q.Service, q.Path, "", string(q.Body))
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	err = r.judge(reply, err, string(fake.DeskAnswer(q.Method, q.Path, q.Body)))
+	err := r.judge(reply, string(fake.DeskAnswer(q.Method, q.Path, q.Body)))
 	if err != nil {
 		return err
 	}
@@ -205,12 +207,12 @@
 
 // judge turns a reply into the error of the request. A complete answer that is
 // not the request's own counts as crossed.
-func (r *Rig) judge(reply standin.Reply, err error, want string) error {
+func (r *Rig) judge(reply fake.Reply, want string) error {
 	switch {
-	case err != nil && reply.Status == 0:
-		return wigeonladder.Errorf(wigeonladder.CodeConnect, "caller", "%v", err)
-	case err != nil:
-		return wigeonladder.Errorf(wigeonladder.CodeBroken, "caller", "%v", err)
+	case reply.Err != nil && reply.Status == 0:
+		return wigeonladder.Errorf(wigeonladder.CodeConnect, "caller", "%v", reply.Err)
+	case reply.Err != nil:
+		return wigeonladder.Errorf(wigeonladder.CodeBroken, "caller", "%v", reply.Err)
 	case !reply.Complete:
 		return wigeonladder.Errorf(reply.Code, "caller", "the fleet refused or broke the answer").WithRetryAfter(reply.RetryAfter)
 	case reply.Text != want:
--- a/standin/balancer.go
+++ b/standin/balancer.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/wigeonladder/wigeonladder/fake"
 )
 
 const (
@@ -30,12 +32,12 @@
 	for i, entry := range entries {
 		b.ready[i].Store(true)
 		b.done.Go(func() {
-			probe := NewCaller("")
+			probe := NewCaller("").WithAddress(entry)
 			defer probe.Close()
 			tick := time.NewTicker(probePeriod)
 			defer tick.Stop()
 			for {
-				ok := probeOnce(ctx, probe, entry)
+				ok := probeOnce(ctx, probe)
 				if b.ready[i].Swap(ok) && !ok {
 					left()
 				}
@@ -51,10 +53,10 @@
 }
 
 // probeOnce asks one entry daemon whether it is ready.
-func probeOnce(ctx context.Context, probe *Caller, entry string) bool {
+func probeOnce(ctx context.Context, probe *fake.Client) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeLimit)
 	defer cancel()
-	return probe.Ready(ctx, entry)
+	return probe.Ready(ctx)
 }
 
 // pick returns the n-th entry of those that are ready, or of all if none is.
--- a/standin/call.go
+++ b/standin/call.go
@@ -15,6 +15,12 @@
 	"github.com/wigeonladder/wigeonladder/fake"
 )
 
+// callLimit bounds one answer.
+const callLimit = 10 * time.Minute
+
+// NewCaller returns a caller with a bearer key and no address.
+func NewCaller(key string) *fake.Client { return fake.NewClient("", key, callLimit) }
+
 // Calls describes the requests of one calling process.
 type Calls struct {
 	// Entries are the caller addresses of the entry daemons, used in turn.
@@ -66,17 +72,17 @@
 }
 
 // add counts one reply.
-func (t *Tally) add(r Reply, err error, want string) {
+func (t *Tally) add(r fake.Reply, want string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r.Request != "" {
 		t.IDs = append(t.IDs, r.Request)
 	}
 	switch {
-	case err == nil && r.Complete && r.Text == want:
+	case r.Complete && r.Text == want:
 		t.Whole++
 		return
-	case err == nil && r.Complete:
+	case r.Complete:
 		t.Wrong++
 	case r.Code != wigeonladder.CodeOK && r.Code.Fact().Outcome == wigeonladder.NotRun:
 		t.Refused++
@@ -84,8 +90,8 @@
 		t.Failed++
 	}
 	t.Codes[r.Code]++
-	if err != nil && len(t.Faults) < maxFaults {
-		t.Faults = append(t.Faults, fmt.Sprintf("request %q after %v: %v", r.Request, r.Total.Round(time.Millisecond), err))
+	if r.Err != nil && len(t.Faults) < maxFaults {
+		t.Faults = append(t.Faults, fmt.Sprintf("request %q after %v: %v", r.Request, r.Total.Round(time.Millisecond), r.Err))
 	}
 }
 
@@ -118,8 +124,7 @@
 		all.Go(func() {
 			for n := range numbers {
 				body, want := c.body(n)
-				r, err := c.send(ctx, caller, pick, n, body)
-				t.add(r, err, want)
+				t.add(c.send(ctx, caller, pick, n, body), want)
 			}
 		})
 	}
@@ -136,34 +141,34 @@
 
 // send sends a request, first to the entry that pick chooses for n, again if the
 // caller is patient.
-func (c Calls) send(ctx context.Context, caller *Caller, pick func(int) string, n int, body []byte) (r Reply, err error) {
+func (c Calls) send(ctx context.Context, caller *fake.Client, pick func(int) string, n int, body string) (r fake.Reply) {
 	for i := range maxRetries {
-		r, err = c.once(ctx, caller, pick(n+i), body)
+		r = c.once(ctx, caller.WithAddress(pick(n+i)), body)
 		refused := r.Code != wigeonladder.CodeOK && r.Code.Fact().Outcome == wigeonladder.NotRun
-		again := refused || errors.Is(err, syscall.ECONNREFUSED)
+		again := refused || errors.Is(r.Err, syscall.ECONNREFUSED)
 		if !c.Retry || !again || ctx.Err() != nil {
-			return r, err
+			return r
 		}
 		time.Sleep(retryPause)
 	}
-	return r, err
+	return r
 }
 
-func (c Calls) once(ctx context.Context, caller *Caller, entry string, body []byte) (Reply, error) {
+func (c Calls) once(ctx context.Context, caller *fake.Client, body string) fake.Reply {
 	if c.Kind == "plain" {
-		return caller.Plain(ctx, entry, "POST", c.Service, c.Path, "", body)
+		return caller.Plain(ctx, "POST", c.Service, c.Path, "", body)
 	}
-	return caller.Chat(ctx, entry, body)
+	return caller.Chat(ctx, body)
 }
 
 // body returns the body of request number n and the answer it must get.
-func (c Calls) body(n int) (body []byte, want string) {
+func (c Calls) body(n int) (body, want string) {
 	rng := rand.New(rand.NewPCG(c.Seed, uint64(n)))
 	if c.Kind == "plain" {
-		body = fmt.Appendf(nil, `{"order":%d,"workspace":%q}`, rng.IntN(1<<30), c.Workspace)
-		return body, string(fake.DeskAnswer("POST", c.Path, body))
+		body = fmt.Sprintf(`{"order":%d,"workspace":%q}`, rng.IntN(1<<30), c.Workspace)
+		return body, string(fake.DeskAnswer("POST", c.Path, []byte(body)))
 	}
-	body = fmt.Appendf(nil, `{"messages":[{"role":"user","content":"%s %d %d"}],"max_tokens":%d,"stream":%t}`,
+	body = fmt.Sprintf(`{"messages":[{"role":"user","content":"%s %d %d"}],"max_tokens":%d,"stream":%t}`,
 		c.Workspace, n, rng.Uint64(), 1+rng.IntN(max(1, c.Tokens)), c.Kind != "whole")
-	return body, fake.Answer(body)
+	return body, fake.Answer([]byte(body))
 }
--- a/standin/main.go
+++ b/standin/main.go
@@ -123,15 +123,15 @@
 	s.String(&ticket, "", "ticket", "ticket; without it a new one is printed")
 	s.String(&body, "", "body", "body of the call")
 	return s, func(ctx context.Context, out io.Writer) error {
-		c := NewCaller(KeyOf(workspace))
+		c := NewCaller(KeyOf(workspace)).WithAddress(entry)
 		if ticket == "" {
-			t, err := c.Ticket(ctx, entry, service, "POST", path)
+			t, err := c.Ticket(ctx, service, "POST", path)
 			_, _ = fmt.Fprintln(out, t)
 			return err
 		}
-		r, err := c.Plain(ctx, entry, "POST", service, path, ticket, []byte(body))
-		if err != nil {
-			return err
+		r := c.Plain(ctx, "POST", service, path, ticket, body)
+		if r.Err != nil {
+			return r.Err
 		}
 		_, _ = fmt.Fprintf(out, "status=%d code=%d outcome=%q\n%s\n", r.Status, int(r.Code), r.Code.Fact().Outcome, r.Text)
 		return nil
