--- a/cmd/wigeonladder/script_test.go
+++ b/cmd/wigeonladder/script_test.go
@@ -55,6 +55,7 @@
 			"lay":        lay,
 			"ready":      ready,
 			"control":    control,
+			"raw":        raw,
 			"eventually": eventually,
 			"signal":     signalProcess,
 			"publish":    publish,
