peer: take over the register only when it changed

Each round of heartbeats walked the whole register and every server in it, although neither the revision nor the live list had changed. A lock keeps an older register from being taken over after a newer one.

--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -81,6 +81,7 @@
 	spread  chan struct{}
 	extra   *rate.Limiter
 	offers  offers
+	learned learned
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -231,10 +232,26 @@
 	return r.Incarnation, true
 }
 
-// learn takes over the register and the live list.
+// learned names the register and the live list that were taken over last.
+type learned struct {
+	sync.Mutex
+	once              bool
+	revision, version uint64
+}
+
+// learn takes over the register and the live list if one of them changed. It is
+// called in every round, and the register may name thousands of servers. The
+// lock keeps an older register from being taken over after a newer one.
 func (m *Mesh) learn() {
-	register := m.o.Config().Register
+	m.learned.Lock()
+	defer m.learned.Unlock()
+	config := m.o.Config()
 	live := m.o.Live()
+	if m.learned.once && m.learned.revision == config.Revision && m.learned.version == live.Version {
+		return
+	}
+	m.learned.once, m.learned.revision, m.learned.version = true, config.Revision, live.Version
+	register := config.Register
 	m.table.Learn(register.VMs, live)
 	registered := map[string]bool{}
 	for _, s := range register.Services {
