--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -18,37 +18,48 @@
 	Counters *fair.Counters
 	Ledger   *contract.Ledger
 	Queue    *entry.Queue
+	// Stop ends the daemon at once.
+	Stop context.CancelFunc
 }
 
 // Fleet is a set of daemons on an in-memory network.
 type Fleet struct {
 	Config  wigeonladder.Config
 	Daemons []*Daemon
+
+	ctx   context.Context
+	wires *wires
+	// lives counts the starts of daemons, for their incarnations.
+	lives int
 }
 
 // Start starts some daemons of a register. They run until the context ends.
 func Start(ctx context.Context, c wigeonladder.Config, daemons int) *Fleet {
-	f := &Fleet{Config: c}
-	w := &wires{listeners: map[string]*pipes{}}
+	f := &Fleet{Config: c, ctx: ctx, wires: &wires{listeners: map[string]*pipes{}}}
 	for i := range daemons {
-		f.Daemons = append(f.Daemons, f.start(ctx, w, i))
+		f.Daemons = append(f.Daemons, f.start(i))
 	}
 	return f
 }
 
+// Restart starts a stopped daemon again, without memory.
+func (f *Fleet) Restart(i int) { f.Daemons[i] = f.start(i) }
+
 // start starts one daemon.
-func (f *Fleet) start(ctx context.Context, w *wires, i int) *Daemon {
+func (f *Fleet) start(i int) *Daemon {
+	ctx, stop := context.WithCancel(f.ctx)
 	vm := f.Config.Register.VMs[i]
-	incarnation := fmt.Sprintf("%012x", i+1) // as long as those of the daemon
+	f.lives++
+	incarnation := fmt.Sprintf("%012x", f.lives) // as long as those of the daemon
 	config := func() wigeonladder.Config { return f.Config }
-	d := &Daemon{Counters: fair.NewCounters(fair.Options{
+	d := &Daemon{Stop: stop, Counters: fair.NewCounters(fair.Options{
 		Home:  incarnation,
 		Rules: func() wigeonladder.Rules { return f.Config.Rules },
 		Slots: func() int { return Servers / Daemons * slots },
 	})}
 	d.Mesh = peer.NewMesh(ctx, peer.Options{
 		Self: vm, Incarnation: incarnation, Seed: uint64(i + 1),
-		Listener: w.listen(vm.Peer), Dial: w.dial,
+		Listener: f.wires.listen(vm.Peer), Dial: f.wires.dial,
 		Config: config, Live: func() wigeonladder.LiveList { return wigeonladder.LiveList{} },
 		Document: func() []byte { return nil }, Offer: func([]byte) error { return nil },
 		Counters: d.Counters,
