campaign: a drain ends only the daemon that it stopped

A daemon that was killed and restarted during its drain was cancelled in its place and started again, so that two daemons ran under one VM name.

--- a/campaign/history.go
+++ b/campaign/history.go
@@ -21,6 +21,7 @@
 	checkLeaving  = "leaving"
 	checkWait     = "wait"
 	checkCrash    = "crashing request"
+	checkStop     = "planned stop"
 	checkNormal   = "back to normal"
 )
 
--- a/campaign/node.go
+++ b/campaign/node.go
@@ -188,11 +188,15 @@
 		return false
 	}
 	core.Stop(life, n)
-	if life.Err() == nil && n.Open() > 0 {
-		n.fleet.history.violate(checkWait, n.vm.Name, "a planned stop cut off %d requests", n.Open())
+	if open := n.Open(); life.Err() == nil && open > 0 {
+		n.fleet.history.violate(checkStop, n.vm.Name, "a planned stop cut off %d requests", open)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	// A daemon that was killed meanwhile may run again.
+	if n.life != life || life.Err() != nil {
+		return false
+	}
 	n.cancel()
 	return true
 }
