cmd/wigeonladder: benchmark of the path's cost

BenchmarkCost starts stand-ins, a daemon and callers as separate processes and measures added time to first token, requests per core, allocations and memory with 5,000 open streams. The daemon's metrics gain counts of the Go runtime; `standin hold` opens the streams.

--- /dev/null
+++ b/cmd/wigeonladder/cost_test.go
@@ -0,0 +1,244 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/wigeonladder/wigeonladder/daemon"
+	"github.com/wigeonladder/wigeonladder/demo"
+	"github.com/wigeonladder/wigeonladder/fake"
+	"github.com/wigeonladder/wigeonladder/operator"
+	"github.com/wigeonladder/wigeonladder/setting"
+	"github.com/wigeonladder/wigeonladder/standin"
+)
+
+// Sizes of the cost benchmark.
+const (
+	costCalls    = 3000
+	costRequests = 20000
+	costParallel = 16
+	costTokens   = 8
+	costStreams  = 5000
+)
+
+// BenchmarkCost measures what one daemon adds to the path between callers and
+// engines of its zone. The stand-ins, the daemon and the callers are separate
+// processes; the engines answer at once. Run it with -benchtime 1x.
+func BenchmarkCost(b *testing.B) {
+	b.Run("FirstByte", costFirstByte)
+	b.Run("Load", costLoad)
+	b.Run("Streams", costOpenStreams)
+}
+
+// costFirstByte alternates direct calls and calls through the daemon.
+func costFirstByte(b *testing.B) {
+	r := newCostRig(b, costParallel)
+	direct := r.caller.WithAddress(r.engine)
+	var straight, fleet []time.Duration
+	for range costCalls {
+		straight = append(straight, costCall(b, direct).First)
+		fleet = append(fleet, costCall(b, r.caller).First)
+	}
+	for _, q := range []struct {
+		name string
+		part int
+	}{{"p50", 50}, {"p99", 99}} {
+		d, f := quantile(straight, q.part), quantile(fleet, q.part)
+		b.ReportMetric(float64(d.Microseconds()), "direct-"+q.name+"-us")
+		b.ReportMetric(float64((f - d).Microseconds()), "added-"+q.name+"-us")
+	}
+}
+
+// quantile returns the value below which that part in 100 lies.
+func quantile(l []time.Duration, part int) time.Duration {
+	slices.Sort(l)
+	return l[len(l)*part/100]
+}
+
+// costCall sends a short stream and asserts that the answer is whole.
+func costCall(b *testing.B, c *fake.Client) fake.Reply {
+	body := fake.ChatBody("", "hello", costTokens, true)
+	r := c.Chat(b.Context(), body, "X-Attempt-Id", "cost.1")
+	if !r.Complete || r.Text != fake.Answer([]byte(body)) {
+		b.Fatalf("status %d, code %d, %v", r.Status, int(r.Code), r.Err)
+	}
+	return r
+}
+
+// costLoad sends many requests at once. The processor time is that of the
+// daemon's whole life, as the kernel counts it for an ended child (getrusage).
+func costLoad(b *testing.B) {
+	r := newCostRig(b, costParallel)
+	before := r.metrics(b).Mallocs
+	var all sync.WaitGroup
+	start := time.Now()
+	for range costParallel {
+		all.Go(func() {
+			for range costRequests / costParallel {
+				costCall(b, r.caller)
+			}
+		})
+	}
+	all.Wait()
+	took := time.Since(start)
+	mallocs := r.metrics(b).Mallocs - before
+	r.stop(b)
+	cpu := r.daemon.ProcessState.UserTime() + r.daemon.ProcessState.SystemTime()
+	b.ReportMetric(costRequests/took.Seconds(), "req/s")
+	b.ReportMetric(costRequests/cpu.Seconds(), "req/s/core")
+	b.ReportMetric(float64(mallocs)/costRequests, "allocs/req")
+}
+
+// costOpenStreams measures the daemon's memory with streams that have brought
+// their first tokens and stay open.
+func costOpenStreams(b *testing.B) {
+	r := newCostRig(b, costStreams)
+	for _, e := range r.layout.Plan.Engines {
+		if _, err := send("POST", e.Listen+"/control/faults", []byte(`{"stallAfter":3}`)); err != nil {
+			b.Fatal(err)
+		}
+	}
+	before := memoryOf(b, r.daemon)
+	r.start(b, "open", "standin", "hold", r.layout.Settings[0].Caller, r.workspace, "-n", fmt.Sprint(costStreams))
+	after, m := memoryOf(b, r.daemon), r.metrics(b)
+	b.ReportMetric(float64(after)/(1<<20), "MB-rss")
+	b.ReportMetric(float64(after-before)/costStreams, "B/stream")
+	b.ReportMetric(float64(m.Heap)/(1<<20), "MB-heap")
+	b.ReportMetric(float64(m.Stack)/(1<<20), "MB-stack")
+	b.ReportMetric(float64(m.Goroutines)/costStreams, "goroutines/stream")
+}
+
+// memoryOf returns the resident memory of a process in bytes.
+func memoryOf(b *testing.B, c *exec.Cmd) int64 {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", c.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, line, _ := strings.Cut(string(status), "VmRSS:")
+	var kilobytes int64
+	if _, err := fmt.Sscan(line, &kilobytes); err != nil {
+		b.Fatal(err)
+	}
+	return kilobytes << 10
+}
+
+// costRig is one daemon with engines of its zone, as separate processes.
+type costRig struct {
+	layout    standin.Layout
+	dir       string
+	workspace string
+	daemon    *exec.Cmd
+	caller    *fake.Client
+	// engine is the address of one engine.
+	engine string
+}
+
+// newCostRig starts a rig whose engines have together more slots than asked for.
+func newCostRig(b *testing.B, slots int) *costRig {
+	site := demo.Guild()
+	site.Register.VMs = site.Register.VMs[:1]
+	site.Register.Zones = site.Register.Zones[:1]
+	for _, v := range site.Register.Services {
+		for i := range v.Servers {
+			v.Servers[i].Zone = site.Register.VMs[0].Zone
+			v.Servers[i].Slots = slots
+			v.Servers[i].MaxSlots = slots
+		}
+	}
+	r := &costRig{dir: b.TempDir(), workspace: site.Register.Workspaces[0].Name}
+	network := fmt.Sprintf("127.%d.%d", 10+os.Getpid()%200, networks.Add(1))
+	r.layout = standin.Lay(site.Register, site.Rules, network, standin.Speeds{})
+	r.callEnginesDirectly()
+	r.layout.Settings[0].LeadTime = setting.Duration(100 * time.Millisecond)
+	if err := r.layout.Write(r.dir); err != nil {
+		b.Fatal(err)
+	}
+	r.engine = r.layout.Plan.Engines[0].Listen
+	r.caller = standin.NewCaller(standin.KeyOf(r.workspace)).WithAddress(r.layout.Settings[0].Caller)
+	r.start(b, "serving", "standin", "serve", "standin.json")
+	r.daemon = r.start(b, "", "wigeonladder", "serve", site.Register.VMs[0].Name+".json")
+	if !fake.Await(eventDeadline, func() bool { return r.caller.Ready(context.Background()) }) {
+		log, _ := os.ReadFile(filepath.Join(r.dir, "wigeonladder-serve.log"))
+		b.Fatalf("the daemon does not become ready: %s", log)
+	}
+	return r
+}
+
+// callEnginesDirectly leaves the relays out of the path that is measured.
+func (r *costRig) callEnginesDirectly() {
+	for _, v := range r.layout.Plan.Config.Register.Services {
+		for i, s := range v.Servers {
+			for _, relay := range r.layout.Plan.Relays {
+				if relay.Name == s.Name {
+					v.Servers[i].Address = relay.Target
+				}
+			}
+		}
+	}
+}
+
+// start starts a process of the rig, which ends with the benchmark, and waits
+// until it prints the line, if one is given. Its log goes to a file.
+func (r *costRig) start(b *testing.B, line, name string, args ...string) *exec.Cmd {
+	c := exec.Command(name, args...)
+	c.Dir = r.dir
+	log, err := os.Create(filepath.Join(r.dir, fmt.Sprint(name, "-", args[0], ".log")))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = log.Close() }()
+	c.Stderr = log
+	out, err := c.StdoutPipe()
+	if err == nil {
+		err = c.Start()
+	}
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() {
+		if c.ProcessState == nil {
+			_ = c.Process.Signal(syscall.SIGTERM)
+			_ = c.Wait()
+		}
+	})
+	if line != "" && !bufio.NewScanner(out).Scan() {
+		text, _ := os.ReadFile(log.Name())
+		b.Fatalf("%s %s ended without %q: %s", name, args[0], line, text)
+	}
+	return c
+}
+
+// stop stops the daemon and waits for its end.
+func (r *costRig) stop(b *testing.B) {
+	r.caller.Close()
+	if err := r.daemon.Process.Signal(syscall.SIGTERM); err != nil {
+		b.Fatal(err)
+	}
+	if err := r.daemon.Wait(); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// metrics returns the process metrics of the daemon.
+func (r *costRig) metrics(b *testing.B) daemon.ProcessMetrics {
+	data, err := operator.NewClient(r.layout.Settings[0].Operator, standin.OperatorKey).Metrics()
+	if err != nil {
+		b.Fatal(err)
+	}
+	var m struct{ Process daemon.ProcessMetrics }
+	if err := json.Unmarshal(data, &m); err != nil {
+		b.Fatal(err)
+	}
+	return m.Process
+}
--- a/daemon/dump.go
+++ b/daemon/dump.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"runtime"
 
 	"github.com/wigeonladder/wigeonladder/contract"
 	"github.com/wigeonladder/wigeonladder/entry"
@@ -61,10 +62,27 @@
 	m.Set("traffic", expvar.Func(func() any { return d.mesh.Traffic() }))
 	m.Set("home", expvar.Func(func() any { return d.homeMetrics() }))
 	m.Set("waiting", expvar.Func(func() any { return len(d.queue.Dump().Waiting) }))
+	m.Set("process", expvar.Func(func() any { return processMetrics() }))
 	m.Set("contracts_held", expvar.Func(func() any { return len(d.queue.Dump().Held) }))
 	return m
 }
 
+// ProcessMetrics are the counts of the Go runtime.
+type ProcessMetrics struct {
+	// Mallocs is the number of allocations since the start.
+	Mallocs uint64 `json:"mallocs"`
+	// Heap and Stack are the bytes in use.
+	Heap       uint64 `json:"heap"`
+	Stack      uint64 `json:"stack"`
+	Goroutines int    `json:"goroutines"`
+}
+
+func processMetrics() ProcessMetrics {
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return ProcessMetrics{Mallocs: s.Mallocs, Heap: s.HeapInuse, Stack: s.StackInuse, Goroutines: runtime.NumGoroutine()}
+}
+
 // HomeMetrics are the gauges of the home role.
 type HomeMetrics struct {
 	Servers int `json:"servers"`
--- a/standin/main.go
+++ b/standin/main.go
@@ -22,7 +22,8 @@
 	serve, runServe := serveCommand()
 	call, runCall := callCommand()
 	once, runOnce := onceCommand()
-	for _, s := range []*flaggy.Subcommand{serve, call, once} {
+	hold, runHold := holdCommand()
+	for _, s := range []*flaggy.Subcommand{serve, call, once, hold} {
 		p.AttachSubcommand(s, 1)
 	}
 	if err := p.ParseArgs(args); err != nil {
@@ -39,6 +40,8 @@
 		err = runCall(ctx, out)
 	case once.Used:
 		err = runOnce(ctx, out)
+	case hold.Used:
+		err = runHold(ctx, out)
 	default:
 		err = errors.New("name a command; --help lists them")
 	}
