retry: news of a crash is not hidden by old records and precedes the error

Cause: Import moved each record of a peer to the front, also unchanged old ones, and Export sends the first 32; once more than 32 suspicions were known, a fresh break was displaced before the next heartbeat. Records now settle in the order of their last change. Besides, a caller could send a crashing request again through another daemon before the rate-limited heartbeat: the error of a request that is refused from now on waits 1.5 s.

--- a/retry/job.go
+++ b/retry/job.go
@@ -38,6 +38,8 @@
 	moves    int
 	// apart is when the search for a server without other suspects ends.
 	apart time.Time
+	// broke is true once a server broke under this run.
+	broke bool
 	// busy is closed when a server that was in use by a suspect is free.
 	busy <-chan struct{}
 	// worst is the last error of an attempt that may have run.
@@ -177,6 +179,7 @@
 	if e.Code != wigeonladder.CodeBroken || ctx.Err() != nil || !j.n.live(server) {
 		return
 	}
+	j.broke = true
 	if !j.n.o.Suspects.Broke(j.print, server) {
 		return
 	}
@@ -229,3 +232,13 @@
 	}
 	return ctx.Err() == nil
 }
+
+// pause waits for a time or the end of the context.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/retry/runner.go
+++ b/retry/runner.go
@@ -26,6 +26,10 @@
 	// apartWait bounds how long a suspect looks for a server on which no other
 	// suspect runs.
 	apartWait = 30 * time.Second
+	// newsWait holds back the error of a request that is refused from now on,
+	// until the next heartbeat, at most 1.2 s away, has told the peers. A caller
+	// that sent it again at once through another daemon broke a third server.
+	newsWait = 1500 * time.Millisecond
 	// delayMin and delayMax bound the delay before another attempt.
 	delayMin = 20 * time.Millisecond
 	delayMax = 500 * time.Millisecond
@@ -84,6 +88,9 @@
 	err := j.run(ctx)
 	if err != nil {
 		j.total.Failed = true
+		if j.broke && n.o.Suspects.Refused(j.print, r.ID) != nil {
+			pause(ctx, newsWait)
+		}
 		return j.total, err
 	}
 	n.o.Budget.Earn(r.Service, r.Workspace)
--- a/retry/runner_test.go
+++ b/retry/runner_test.go
@@ -341,3 +341,24 @@
 		is.Equal(len(s.probing), 0)
 	})
 }
+
+// Guards against a caller that sends a crashing request again before the other
+// daemons know of it: its error waits for the next heartbeat.
+func TestNewsBeforeError(t *testing.T) {
+	bubble(t, 4, 1, func(ctx context.Context, is *is.I, g *rig) {
+		n := g.runner(NewSuspects())
+		for range 20 {
+			n.o.Budget.Earn("v", "w")
+		}
+		var broke time.Time
+		n.o.Spread = func() { broke = time.Now() }
+		_, err := n.Run(ctx, request("crash"), &answer{})
+		coded(is, err, wigeonladder.CodeBroken)
+		is.Equal(len(g.lost), 2)
+		is.True(time.Since(broke) >= newsWait)
+		start := time.Now()
+		_, err = n.Run(ctx, request("crash"), &answer{})
+		coded(is, err, wigeonladder.CodeSuspect)
+		is.True(time.Since(start) < newsWait) // a refusal without a break does not wait
+	})
+}
--- a/retry/suspects.go
+++ b/retry/suspects.go
@@ -153,6 +153,15 @@
 	return k
 }
 
+// settle moves the record in front behind those that changed after it. Otherwise
+// the old records of a peer would displace fresh ones from the next Export.
+func (s *Suspects) settle(k *suspect) {
+	e := s.known[k.print]
+	for n := e.Next(); n != nil && n.Value.(*suspect).at.After(k.at); n = e.Next() {
+		s.order.MoveAfter(e, n)
+	}
+}
+
 // expired reports whether the record is too old to count.
 func (k *suspect) expired() bool { return time.Since(k.at) >= forgiveAfter }
 
@@ -215,6 +224,7 @@
 		}
 	}
 	k := s.take(v.Print)
+	defer s.settle(k)
 	if len(v.Servers) == 0 {
 		k.servers, k.at = nil, at
 		return
--- a/retry/suspects_test.go
+++ b/retry/suspects_test.go
@@ -65,6 +65,24 @@
 	})
 }
 
+// Guards against news of a break that old records of a peer, which come with
+// every heartbeat, keep out of the bounded export.
+func TestOldRecordsDoNotHideNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const print = 7
+		a, b := NewSuspects(), NewSuspects()
+		for i := range 2 * maxExport {
+			a.Broke(uint64(100+i), "s1")
+		}
+		b.Import(a.Export())
+		time.Sleep(time.Second)
+		b.Broke(print, "s2")
+		b.Import(a.Export())
+		is.Equal(b.Export()[0].Print, uint64(print)) // the last change comes first
+	})
+}
+
 // Guards against two runs of one suspect at a time, and against a wait for the
 // other run that never ends.
 func TestOneRunOfASuspect(t *testing.T) {
