campaign: checks for late use of contracts and for limits without a split

The end of a daemon does not split the fleet, so a home may not count more contracts than the highest limit after it. A server that is listed as live again is not leaving any more; attempts to it were reported before.

--- a/campaign/backend.go
+++ b/campaign/backend.go
@@ -25,6 +25,7 @@
 
 // Do implements wigeonladder.Backend.
 func (k *client) Do(ctx context.Context, a wigeonladder.Attempt, out wigeonladder.Sink) (wigeonladder.Usage, error) {
+	start := time.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer context.AfterFunc(k.life, func() { cancel(errKilled) })()
 	defer cancel(nil)
@@ -40,7 +41,7 @@
 		return wigeonladder.Usage{}, err
 	}
 	c := k.fleet.call(string(a.Request.Body))
-	k.fleet.sent(k, s, c, a)
+	k.fleet.sent(k, s, c, a, start)
 	replies := make(chan reply, c.tokens+2)
 	gone, hangUp := context.WithCancel(k.fleet.ctx)
 	defer hangUp()
--- a/campaign/check.go
+++ b/campaign/check.go
@@ -92,39 +92,42 @@
 		return
 	}
 	for name := range f.servers {
-		left := core.State(name) == wigeonladder.StateLeaving
+		left := core.State(name) == wigeonladder.StateLeaving && f.registry.state(name) == wigeonladder.StateLeaving
 		f.mu.Lock()
-		since, known := f.leaving[name]
-		switch {
-		case left && !known:
+		if _, known := f.leaving[name]; left && !known {
 			f.leaving[name] = time.Now()
-		case !left && known && time.Since(since) > leavingWithin:
-			// The list says again that the server is live, or the news has not
-			// reached this daemon; sent tells the two apart.
-			if f.registry.state(name) == wigeonladder.StateLive {
-				delete(f.leaving, name)
-			}
 		}
 		f.mu.Unlock()
 	}
 }
 
-// sent checks an attempt whose first byte is written now.
-func (f *fleet) sent(k *client, s *server, c *call, a wigeonladder.Attempt) {
+// stays notes that a server is listed as live again.
+func (f *fleet) stays(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.leaving, name)
+}
+
+// sent checks an attempt whose first byte is written now. Its contract had
+// arrived before the given time.
+func (f *fleet) sent(k *client, s *server, c *call, a wigeonladder.Attempt, since time.Time) {
 	f.history.note(c.name, "%s attempt %d is written to %s", a.Request.ID, a.Number, s.spec.Name)
 	f.history.count("attempts", 1)
+	if age := time.Since(since); age > wigeonladder.ContractUseBy {
+		f.history.violate(checkUseBy, c.name, "the contract for %s is used %v after its arrival", s.spec.Name, age)
+	}
 	f.mu.Lock()
-	since, left := f.leaving[s.spec.Name]
+	listed, left := f.leaving[s.spec.Name]
 	f.mu.Unlock()
-	if !left || time.Since(since) <= leavingWithin {
+	if !left || time.Since(listed) <= leavingWithin {
 		return
 	}
-	if !k.node.calm(since) {
+	if !k.node.calm(listed) {
 		f.history.count("attempts to leaving servers of unreachable daemons", 1)
 		return
 	}
 	f.history.violate(checkLeaving, c.name, "an attempt is written to %s %v after it was listed as leaving",
-		s.spec.Name, time.Since(since))
+		s.spec.Name, time.Since(listed))
 }
 
 // sampleLimits checks what a home counts against the highest limit.
@@ -139,7 +142,7 @@
 			continue
 		}
 		f.history.peak("most contracts over the limit of a home", over)
-		if f.calm(time.Now().Add(-splitTail)) {
+		if f.whole(time.Now().Add(-splitTail)) {
 			f.history.violate(checkLimit, n.vm.Name, "%d contracts in use on %s with at most %d slots",
 				s.InUse, s.Name, f.servers[s.Name].spec.MaxSlots)
 		}
--- a/campaign/fault.go
+++ b/campaign/fault.go
@@ -103,6 +103,12 @@
 	return f.servers[names[pick%len(names)]]
 }
 
+// apart is around for a fault that splits the fleet.
+func (f *fleet) apart(end func(), nodes ...*node) func() {
+	f.split(1)
+	return f.around(func() { end(); f.split(-1) }, nodes...)
+}
+
 // around notes that a fault concerns daemons and returns what ends it.
 func (f *fleet) around(end func(), nodes ...*node) func() {
 	f.disturb(1)
@@ -140,7 +146,7 @@
 func beginPause(f *fleet, p fault) (string, func()) {
 	n := f.node(p.pick)
 	n.freeze(1)
-	return n.vm.Name, f.around(func() { n.freeze(-1) }, n)
+	return n.vm.Name, f.apart(func() { n.freeze(-1) }, n)
 }
 
 func beginCutZone(f *fleet, p fault) (string, func()) {
@@ -155,7 +161,7 @@
 	}
 	// A way between two daemons is listed from both sides.
 	f.blockAll(pairs, 1)
-	return zone, f.around(func() { f.blockAll(pairs, -1) }, f.nodes...)
+	return zone, f.apart(func() { f.blockAll(pairs, -1) }, f.nodes...)
 }
 
 // blockAll cuts ways, or with -1 joins them.
@@ -168,19 +174,19 @@
 func beginCutLink(f *fleet, p fault) (string, func()) {
 	a, b := f.node(p.pick), f.node(p.pick+1+p.pick2%(daemons-1))
 	f.net.block(a.vm.Peer, b.vm.Peer, 1)
-	return a.vm.Name + "-" + b.vm.Name, f.around(func() { f.net.block(a.vm.Peer, b.vm.Peer, -1) }, a, b)
+	return a.vm.Name + "-" + b.vm.Name, f.apart(func() { f.net.block(a.vm.Peer, b.vm.Peer, -1) }, a, b)
 }
 
 func beginReset(f *fleet, p fault) (string, func()) {
 	a, b := f.node(p.pick), f.node(p.pick+1+p.pick2%(daemons-1))
 	f.net.reset(a.vm.Peer, b.vm.Peer)
-	return a.vm.Name + "-" + b.vm.Name, f.around(func() {}, a, b)
+	return a.vm.Name + "-" + b.vm.Name, f.apart(func() {}, a, b)
 }
 
 func beginDelay(f *fleet, p fault) (string, func()) {
 	spike := time.Duration(1+p.pick%600) * time.Millisecond
 	f.net.addSpike(spike)
-	return spike.String(), f.around(func() { f.net.addSpike(-spike) }, f.nodes...)
+	return spike.String(), f.apart(func() { f.net.addSpike(-spike) }, f.nodes...)
 }
 
 func beginPlatformDown(f *fleet, _ fault) (string, func()) {
@@ -219,7 +225,10 @@
 func beginLeave(f *fleet, p fault) (string, func()) {
 	s := f.server(p.pick)
 	f.registry.list(s.spec.Name, wigeonladder.StateLeaving)
-	return s.spec.Name, func() { f.registry.list(s.spec.Name, wigeonladder.StateLive) }
+	return s.spec.Name, func() {
+		f.registry.list(s.spec.Name, wigeonladder.StateLive)
+		f.stays(s.spec.Name)
+	}
 }
 
 func beginCrash(f *fleet, p fault) (string, func()) {
--- a/campaign/fleet.go
+++ b/campaign/fleet.go
@@ -46,6 +46,10 @@
 	// active counts the faults under way; touched is when the last ended.
 	active  int
 	touched time.Time
+	// splits and splitAt are the same for faults by which daemons see each
+	// other differently; the end of a daemon is none.
+	splits  int
+	splitAt time.Time
 	// first is when a calm daemon first had a revision in force.
 	first map[uint64]time.Time
 }
@@ -65,6 +69,7 @@
 		leaving: map[string]time.Time{},
 		first:   map[uint64]time.Time{},
 		touched: now,
+		splitAt: now,
 	}
 	f.registry = newRegistry(f.conf)
 	for _, v := range f.conf.Register.Services {
@@ -221,3 +226,18 @@
 	defer f.mu.Unlock()
 	return f.active == 0 && f.touched.Before(since)
 }
+
+// split notes that a fault splits the fleet, or with -1 no longer.
+func (f *fleet) split(by int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.splits += by
+	f.splitAt = time.Now()
+}
+
+// whole reports whether no fault split the fleet since a time.
+func (f *fleet) whole(since time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.splits == 0 && f.splitAt.Before(since)
+}
--- a/campaign/history.go
+++ b/campaign/history.go
@@ -21,6 +21,7 @@
 	checkLeaving  = "leaving"
 	checkWait     = "wait"
 	checkCrash    = "crashing request"
+	checkUseBy    = "late use"
 	checkStop     = "planned stop"
 	checkNormal   = "back to normal"
 )
