--- a/campaign/doc.go
+++ b/campaign/doc.go
@@ -3,7 +3,11 @@
 // daemon.Core, as it is; the network between daemons, the platform, the backend
 // servers and the callers are in-memory stand-ins that fail on a seeded plan.
 //
-// The same seed gives the same plan of faults and the same requests. The order
+// A longer campaign than that of the ordinary tests:
+//
+//	go test ./campaign -run TestCampaign -v -args -seeds 20 -requests 2000
+//
+// The flag -first chooses the first seed. The same seed gives the same plan of faults and the same requests. The order
 // of goroutines that are ready at the same moment is not seeded.
 //
 // Left out: HTTP on both sides, and the pause of a process. A paused daemon is
--- a/campaign/server.go
+++ b/campaign/server.go
@@ -35,7 +35,6 @@
 // reply is one part of what a server sends back.
 type reply struct {
 	part string
-	last bool
 	err  *wigeonladder.Error
 }
 
