caller, campaign: a resend with a ticket is never called "not run"

Cause: the entry refused a second sending with 203 (draining) or 107 (workspace removed) before it looked at the ticket, although the call had executed. A request with a ticket now gets 404 or 406 in these cases, of the class "may have run".

--- a/caller/server.go
+++ b/caller/server.go
@@ -183,11 +183,12 @@
 	c.Response.Header.Set(headerRequest, id)
 	if s.refusing() {
 		s.late.Store(time.Now().UnixNano())
-		writeError(c, drainingError().WithRetryAfter(1))
+		writeError(c, ofTicket(c, drainingError().WithRetryAfter(1)))
 		return
 	}
 	r, err := s.parse(c, id, path)
 	if err != nil {
+		err = ofTicket(c, err)
 		s.note(r, id, err)
 		writeError(c, err)
 		return
@@ -199,6 +200,23 @@
 	s.run(c, r)
 }
 
+// ofTicket replaces the error of a request that carries a ticket and was refused
+// before the ticket was looked at. Such a request may be a second sending, so
+// "not run" would be true of the sending but not of the call.
+func ofTicket(c *fasthttp.RequestCtx, err error) error {
+	e := asError(err)
+	if len(c.Request.Header.Peek(headerTicket)) == 0 {
+		return err
+	}
+	switch e.Code {
+	case wigeonladder.CodeDraining:
+		return wigeonladder.Errorf(wigeonladder.CodeTicketAway, headerTicket, "the daemon is stopping").WithRetryAfter(e.RetryAfter)
+	case wigeonladder.CodeNoWorkspace:
+		return wigeonladder.Errorf(wigeonladder.CodeTicketUnknown, headerTicket, "the workspace was removed; the call may have run before")
+	}
+	return err
+}
+
 // ready tells a load balancer whether to send requests.
 func (s *Server) ready(c *fasthttp.RequestCtx) {
 	c.SetContentType("text/plain; charset=utf-8")
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -136,6 +136,27 @@
 	is.Equal(r.desk.Runs(fake.RunKey("/deposit/7", []byte("x"))), 1)
 }
 
+// Guards against a second sending of a call that ran being answered "not run",
+// because the daemon stops or the workspace was removed in between.
+func TestResendIsNeverCalledNotRun(t *testing.T) {
+	var refusing atomic.Bool
+	r := newRig(t, fake.EngineOptions{}, func(_ *rig, o *caller.Options) { o.Refusing = refusing.Load })
+	resend := func() fake.Reply {
+		return r.send("POST", "/s/desk/deposit/7", "key-alder", "x", "X-Ticket", "alder desk POST /deposit/7")
+	}
+	wantDesk(t, resend(), "POST", "/deposit/7", "x")
+	refusing.Store(true)
+	wantCode(t, resend(), wigeonladder.CodeTicketAway)
+	wantCode(t, r.send("POST", "/s/desk/x", "key-alder", "x"), wigeonladder.CodeDraining)
+	refusing.Store(false)
+	next := *r.config.Load()
+	next.Revision = 2
+	next.Register.Workspaces = next.Register.Workspaces[1:]
+	r.config.Store(&next)
+	wantCode(t, resend(), wigeonladder.CodeTicketUnknown)
+	wantCode(t, r.send("POST", "/s/desk/x", "key-alder", "x"), wigeonladder.CodeNoWorkspace)
+}
+
 // Guards against a removed workspace whose key still works, and against a
 // workspace that gets the answer or is charged for the work of another.
 func TestWorkspacesAreSeparate(t *testing.T) {
--- a/campaign/load.go
+++ b/campaign/load.go
@@ -200,6 +200,9 @@
 	s.request = f.nextID()
 	if core.Refusing() {
 		s.code = wigeonladder.CodeDraining
+		if ticket != "" {
+			s.code = wigeonladder.CodeTicketAway
+		}
 		f.history.end(s)
 		return s
 	}
@@ -228,6 +231,9 @@
 		return wigeonladder.CodeBroken
 	}
 	if _, ok := core.Config().Register.Workspace(s.call.workspace); !ok {
+		if ticket != "" {
+			return wigeonladder.CodeTicketUnknown
+		}
 		return wigeonladder.CodeNoWorkspace
 	}
 	r := s.toRequest(ticket)
