--- a/daemon/core.go
+++ b/daemon/core.go
@@ -91,6 +91,7 @@
 
 // build creates the parts in the order in which they need each other.
 func (d *Core) build(ctx context.Context, o CoreOptions) {
+	hold := make(chan struct{})
 	d.watcher = platform.NewWatcher(ctx, platform.Options{
 		Platform: o.Platform,
 		Parse: func(data []byte) (wigeonladder.Config, error) {
@@ -98,7 +99,12 @@
 		},
 		Journal: d.journal,
 		Seed:    o.Seed,
+		Hold:    hold,
 	})
+	go func() {
+		defer close(hold)
+		d.askPeersFirst(ctx)
+	}()
 	d.counters = fair.NewCounters(fair.Options{
 		Home:  d.incarnation,
 		Rules: func() wigeonladder.Rules { return d.watcher.Config().Rules },
@@ -148,6 +154,23 @@
 	d.mesh.Serve(d.ledger, d.queue, d.book)
 }
 
+// peersFirst bounds how long a started daemon waits for the configuration of its
+// peers before it asks the platform, whose copy may be stale.
+const peersFirst = 1500 * time.Millisecond
+
+// askPeersFirst returns when a peer gave a configuration or none did in time.
+// Without peer addresses in the settings the daemon learns its peers from the
+// platform, and there is nothing to wait for.
+func (d *Core) askPeersFirst(ctx context.Context) {
+	if len(d.settings.Links) == 0 {
+		return
+	}
+	limit, cancel := context.WithTimeout(ctx, peersFirst)
+	defer cancel()
+	// The error means that the time is over.
+	_ = d.watcher.WaitReady(limit)
+}
+
 // buildRoles creates the home and the entry role.
 func (d *Core) buildRoles(ctx context.Context, seed uint64) {
 	d.ledger = contract.NewLedger(ctx, contract.Options{
--- a/standin/layout.go
+++ b/standin/layout.go
@@ -111,6 +111,13 @@
 		l.Plan.Relays = append(l.Plan.Relays, Relay{vm.Name, vm.Peer, at(i+1, portPeer)})
 		l.Settings = append(l.Settings, settingsOf(vm, at, i+1))
 	}
+	for i := range l.Settings {
+		for j, vm := range out.VMs {
+			if i != j {
+				l.Settings[i].Links = append(l.Settings[i].Links, vm.Peer)
+			}
+		}
+	}
 	host := hostServer
 	for _, service := range r.Services {
 		servers := make([]wigeonladder.Server, len(service.Servers))
