retry: contracts that could not be used are replaced for a time

Cause: while daemons learn of a leaving server at different times, the home grants on it and the entry's last check refuses. Three tries end within milliseconds. Final refusals for lack of a server carry RetryAfter.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -143,6 +143,8 @@
 		Suspects: suspects,
 		Journal:  d.journal,
 		Spread:   d.mesh.Spread,
+		MaxWait:  time.Duration(d.settings.MaxWait),
+		Seed:     seed,
 	})
 	d.book = ticket.NewBook(ticket.Options{
 		Self:         d.settings.Name,
--- a/retry/job.go
+++ b/retry/job.go
@@ -37,7 +37,9 @@
 	attempts int
 	retries  int
 	free     int
-	moves    int
+	// unsent is when the first contract could not be used.
+	unsent time.Time
+	moves  int
 	// apart is when the search for a server without other suspects ends.
 	apart time.Time
 	// busy is closed when a server that was in use by a suspect is free.
--- a/retry/rig_test.go
+++ b/retry/rig_test.go
@@ -39,6 +39,8 @@
 	// before runs between the decision to send and the last check.
 	before func(a wigeonladder.Attempt)
 
+	// avoided is what the last placement was told to avoid.
+	avoided   []string
 	contracts uint64
 	// held counts the releases that each contract still owes.
 	held  map[uint64]int
@@ -81,6 +83,9 @@
 
 // Place grants a random free slot of a server that is up.
 func (g *rig) Place(ctx context.Context, r wigeonladder.Request) (wigeonladder.Contract, error) {
+	g.mu.Lock()
+	g.avoided = r.Avoid
+	g.mu.Unlock()
 	for {
 		select {
 		case <-time.After(placeTime):
--- a/retry/rule.go
+++ b/retry/rule.go
@@ -29,9 +29,13 @@
 		return false
 	}
 	switch e.Code {
-	case wigeonladder.CodeConnect, wigeonladder.CodeContract:
+	case wigeonladder.CodeContract:
 		// Nothing was sent, so that even a request that may not be repeated
 		// goes on.
+		return j.mayRetryUnsent()
+	case wigeonladder.CodeConnect:
+		// Nothing was sent either, but a connection over a cut link may take
+		// seconds to fail, so that the tries are counted.
 		return j.mayRetryFree()
 	case wigeonladder.CodeRefused:
 		// Bytes reached the server, although it says that nothing ran.
@@ -43,7 +47,16 @@
 	}
 }
 
-// mayRetryFree counts a retry after an attempt that did not run.
+// mayRetryUnsent allows retries for a time after a contract that could not be
+// used. The pauses between them grow to delayMax.
+func (j *job) mayRetryUnsent() bool {
+	if j.unsent.IsZero() {
+		j.unsent = time.Now()
+	}
+	return time.Since(j.unsent) < j.n.o.MaxWait
+}
+
+// mayRetryFree counts a retry after a refused attempt.
 func (j *job) mayRetryFree() bool {
 	j.free++
 	return j.free <= maxFree
@@ -72,12 +85,25 @@
 	if e == nil {
 		return nil
 	}
+	if j.worst == nil && unplaced(e) {
+		return e.WithRetryAfter(againSeconds)
+	}
 	if j.worst == nil || e.Code.Fact().Outcome == wigeonladder.MayHaveRun {
 		return e
 	}
 	return wigeonladder.Errorf(j.worst.Code, j.worst.Place, "%s; then %v", j.worst.Detail, e)
 }
 
+// unplaced reports whether a request found no server that takes it, and the
+// error does not say yet when to send it again.
+func unplaced(e *wigeonladder.Error) bool {
+	switch e.Code {
+	case wigeonladder.CodeConnect, wigeonladder.CodeContract, wigeonladder.CodeRefused, wigeonladder.CodeNoServer:
+		return e.RetryAfter == 0
+	}
+	return false
+}
+
 // classify returns the error with a code that promises no more than is known.
 // An error without a code says "not run" only if the last check did not pass,
 // and no code says so once output came back.
--- a/retry/runner.go
+++ b/retry/runner.go
@@ -14,9 +14,15 @@
 const (
 	// maxRetry is the number of retries of one request that spend the budget.
 	maxRetry = 2
-	// maxFree is the number of retries after attempts that did not run. They
-	// spend no budget, so they are few.
+	// maxFree is the number of retries after a server refused or was not reached.
+	// They spend no budget, so they are few.
 	maxFree = 3
+	// freeWait bounds the retries after contracts that could not be used, if
+	// the options do not. A count is no bound that fits: it ends within milliseconds
+	// while the daemons learn of a leaving server at different times.
+	freeWait = 30 * time.Second
+	// againSeconds is the retry time of a request that found no server.
+	againSeconds = 1
 	// maxMoves is the number of contracts that one request gives back unused
 	// because they name a server that it must avoid. With delays from delayMin
 	// to delayMax they take about 3 s.
@@ -47,6 +53,9 @@
 	// Spread is called when a suspicion is new, so that peers hear of it at
 	// once; nil for none. It must not block.
 	Spread func()
+	// MaxWait bounds the time for which a request is tried again after
+	// contracts that could not be used; 0 for 30 s.
+	MaxWait time.Duration
 	// Seed seeds the jitter of delays.
 	Seed uint64
 }
@@ -67,6 +76,12 @@
 	if o.Suspects == nil {
 		o.Suspects = NewSuspects()
 	}
+	if o.MaxWait == 0 {
+		o.MaxWait = freeWait
+	}
+	if o.Journal != nil {
+		o.Journal.Note("", "runner_start", "seed", o.Seed)
+	}
 	return &Runner{o: o, random: rand.New(rand.NewPCG(o.Seed, 0))}
 }
 
--- a/retry/runner_test.go
+++ b/retry/runner_test.go
@@ -53,6 +53,7 @@
 		"two retries at most":           {[]wigeonladder.Code{timeout, timeout, timeout}, false, timeout, 3},
 		"backend error":                 {[]wigeonladder.Code{internal}, false, internal, 1},
 		"may have run, then not run":    {[]wigeonladder.Code{timeout, connect, connect, connect, connect}, false, timeout, 5},
+		"many late contracts, then ok":  {[]wigeonladder.Code{late, late, late, late, late, late}, false, ok, 7},
 		"may have run, then refused":    {[]wigeonladder.Code{crossed, refused, timeout, timeout}, false, timeout, 4},
 		"once: connect, then ok":        {[]wigeonladder.Code{connect, late}, true, ok, 3},
 		"once: refused after bytes":     {[]wigeonladder.Code{refused}, true, refused, 1},
@@ -79,6 +80,53 @@
 	}
 }
 
+// Guards against a request that is given up within milliseconds while daemons
+// learn of a change at different times, against one that is tried for ever or
+// in a hot loop, and against a refusal that does not say when to come back.
+func TestUnsentIsTriedForATime(t *testing.T) {
+	for _, code := range []wigeonladder.Code{wigeonladder.CodeContract} {
+		for name, first := range map[string]wigeonladder.Code{
+			"not run": wigeonladder.CodeOK, "may have run": wigeonladder.CodeTimeout,
+		} {
+			t.Run(fmt.Sprint(code, " ", name), func(t *testing.T) {
+				bubble(t, 8, 1, func(ctx context.Context, is *is.I, g *rig) {
+					g.fail = func(a wigeonladder.Attempt, _ wigeonladder.Sink) error {
+						if a.Number == 1 && first != wigeonladder.CodeOK {
+							return wigeonladder.Errorf(first, a.Server.Name, "injected")
+						}
+						return wigeonladder.Errorf(code, a.Server.Name, "injected")
+					}
+					began := time.Now()
+					n := g.runner(nil)
+					n.o.MaxWait = 10 * time.Second
+					_, err := n.Run(ctx, request("x"), &answer{})
+					took := time.Since(began)
+					t.Logf("%d attempts in %v", len(g.sent), took)
+					is.True(took >= 10*time.Second && took < 12*time.Second)
+					is.True(len(g.sent) < 60)
+					if first != wigeonladder.CodeOK {
+						coded(is, err, first) // not hidden by the later "not run"
+						return
+					}
+					coded(is, err, code)
+					var e *wigeonladder.Error
+					is.True(errors.As(err, &e) && e.RetryAfter > 0)
+				})
+			})
+		}
+	}
+}
+
+// Guards against a retry that does not tell the placer which servers failed.
+func TestRetryNamesFailedServers(t *testing.T) {
+	bubble(t, 2, 1, func(ctx context.Context, is *is.I, g *rig) {
+		g.fail = failing(wigeonladder.CodeConnect)
+		_, err := g.runner(nil).Run(ctx, request("x"), &answer{})
+		is.NoErr(err)
+		is.Equal(g.avoided, []string{g.placed()[0]})
+	})
+}
+
 // Guards against a plain retry on the server that just failed.
 func TestRetryElsewhere(t *testing.T) {
 	for range 20 {
