--- a/daemon/core.go
+++ b/daemon/core.go
@@ -141,6 +141,7 @@
 		Suspects: suspects,
 		Journal:  d.journal,
 		Spread:   d.mesh.Spread,
+		MaxWait:  time.Duration(d.settings.MaxWait),
 		Seed:     o.Seed,
 	})
 	d.book = ticket.NewBook(ticket.Options{
