contract: no work for a server of which there is no sign of life

A server that was gained gets no grants before its first report, and one whose last report timed out is left to the next report; servers that refuse still get probes. TestSilentServerGetsNoWork fails without the second rule.

--- a/contract/breaker.go
+++ b/contract/breaker.go
@@ -88,9 +88,19 @@
 	return !s.byEntry[vm].allows(now)
 }
 
+// prove ends the wait for the first load report.
+func (s *server) prove() {
+	if !s.unproven {
+		return
+	}
+	s.unproven = false
+	s.fix()
+}
+
 // heard notes that an entry reached the server.
 func (l *Ledger) heard(s *server, vm string, now time.Time) {
 	s.heard = now
+	s.prove()
 	delete(s.byEntry, vm)
 	l.shut(s, nil)
 }
@@ -149,8 +159,10 @@
 // sighted applies what a load report says about the way to the server. A good
 // one ends the breaker for all entries; the blocks of single entries end with
 // it, as the server was away for everybody.
-func (l *Ledger) sighted(s *server, ok bool, now time.Time) {
-	if ok {
+func (l *Ledger) sighted(s *server, r report, now time.Time) {
+	s.silent = r == timedOut
+	s.prove()
+	if r == arrived {
 		if s.all != nil {
 			clear(s.byEntry)
 		}
@@ -178,9 +190,11 @@
 }
 
 // probe lets one contract probe a server whose breaker time is over. It runs at
-// each tick, because the order of the heaps must not change by itself.
+// each tick, because the order of the heaps must not change by itself. A server
+// whose last load report timed out is left to the next report: a request sent to
+// it would hang until its first byte is due.
 func (l *Ledger) probe(s *server, now time.Time) {
-	if s.all != nil && !s.probing && s.all.allows(now) {
+	if s.all != nil && !s.silent && !s.probing && s.all.allows(now) {
 		s.probing = true
 		s.fix()
 	}
--- a/contract/breaker_test.go
+++ b/contract/breaker_test.go
@@ -144,6 +144,20 @@
 	}, 1)
 }
 
+// Guards against requests that hang on a server of a cut zone: the home that
+// takes it over has no sign of life of it.
+func TestSilentServerGetsNoWork(t *testing.T) {
+	run(t, func(b *bench) {
+		b.unreachable(context.DeadlineExceeded)
+		time.Sleep(unheardLimit + loadPeriod)
+		b.is.Equal(b.free(), 0)
+		b.is.Equal(b.attempts("e1", time.Minute, wigeonladder.CodeTimeout), 0)
+		b.unreachable(nil)
+		time.Sleep(loadPeriod + tick)
+		b.is.Equal(b.free(), 4)
+	}, 4)
+}
+
 // Guards against a retry on the server that just failed the request, and
 // against a request that waits although only that server is free.
 func TestAvoid(t *testing.T) {
--- a/contract/ledger_test.go
+++ b/contract/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -79,10 +80,14 @@
 		Fleet: b.node, Shares: b.shares, Incarnation: "home/1",
 		Config:  func() wigeonladder.Config { return config },
 		Limiter: func(s wigeonladder.Server) wigeonladder.Limiter { return fake.FixedLimit(s.Slots) },
-		Load: func(context.Context, wigeonladder.Server) (wigeonladder.Load, error) {
+		Load: func(ctx context.Context, _ wigeonladder.Server) (wigeonladder.Load, error) {
 			b.mu.Lock()
-			defer b.mu.Unlock()
-			return b.load, b.loadErr
+			load, err := b.load, b.loadErr
+			b.mu.Unlock()
+			if errors.Is(err, context.DeadlineExceeded) {
+				<-ctx.Done()
+			}
+			return load, err
 		},
 	})
 	for _, vm := range []string{"e1", "e2"} {
--- a/contract/load.go
+++ b/contract/load.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"os"
 	"sync"
 	"time"
 
@@ -16,6 +18,28 @@
 	loadLife = 3 * time.Second
 )
 
+// report is how the request for a load report ended.
+type report int
+
+const (
+	arrived report = iota
+	// failed reports were refused or wrong: something answered.
+	failed
+	// timedOut reports got no answer at all.
+	timedOut
+)
+
+// reportOf returns how a request for a load report ended.
+func reportOf(ctx context.Context, err error) report {
+	switch {
+	case err == nil:
+		return arrived
+	case ctx.Err() != nil, errors.Is(err, os.ErrDeadlineExceeded):
+		return timedOut
+	}
+	return failed
+}
+
 // pollLoads asks the own servers for their load until the context ends.
 func (l *Ledger) pollLoads() {
 	t := time.NewTicker(loadPeriod)
@@ -44,7 +68,7 @@
 	for _, s := range own {
 		group.Go(func() {
 			load, err := l.o.Load(ctx, s)
-			l.applyLoad(s.Name, load, err == nil)
+			l.applyLoad(s.Name, load, reportOf(ctx, err))
 		})
 	}
 	group.Wait()
@@ -56,11 +80,12 @@
 	ctx, cancel := context.WithTimeout(l.ctx, loadPeriod)
 	defer cancel()
 	_, err := l.o.Load(ctx, s)
+	r := reportOf(ctx, err)
 	now := time.Now()
 	l.mu.Lock()
 	var out outbox
 	if own := l.servers[s.Name]; own != nil && l.ctx.Err() == nil {
-		l.sighted(own, err == nil, now)
+		l.sighted(own, r, now)
 		l.dispatch(own.pool, &out)
 	}
 	l.mu.Unlock()
@@ -70,14 +95,14 @@
 // applyLoad lowers the free slots of a server by the work that it reports and
 // this home does not know. Contracts that ended within the last windows still
 // count as known, as the report lags.
-func (l *Ledger) applyLoad(name string, load wigeonladder.Load, ok bool) {
+func (l *Ledger) applyLoad(name string, load wigeonladder.Load, r report) {
 	now := time.Now()
 	l.mu.Lock()
 	var out outbox
 	if s := l.servers[name]; s != nil {
 		known := s.inUse + s.released[0] + s.released[1]
 		s.released = [2]int{0, s.released[0]}
-		if ok {
+		if r == arrived {
 			s.foreign = max(0, load.Running+load.Waiting-known)
 			s.loadAt = now
 		}
@@ -86,7 +111,7 @@
 		}
 		s.fix()
 		if l.ctx.Err() == nil {
-			l.sighted(s, ok, now)
+			l.sighted(s, r, now)
 		}
 		l.dispatch(s.pool, &out)
 	}
--- a/contract/server.go
+++ b/contract/server.go
@@ -30,7 +30,8 @@
 	// released counts the releases of the current and the last load window.
 	released [2]int
 	// heard is when the server last gave a sign of life: a load report, or an
-	// attempt that it answered; zero if it gave none to this home. failed is when an entry last did not reach it.
+	// attempt that it answered; zero if it gave none to this home. failed is
+	// when an entry last did not reach it.
 	heard, failed time.Time
 	// all is the breaker for all entries, nil while it is closed; probing is
 	// true while it lets one contract through. byEntry holds the breakers of
@@ -39,12 +40,19 @@
 	probing   bool
 	byEntry   map[string]*breaker
 	verifying bool
-	seats     []*seat
+	// silent is true if the last load report timed out.
+	silent bool
+	// unproven is true until the first load report came or failed. Without it a
+	// home that took over the servers of a cut zone granted their slots in the
+	// first second, and each such request hung for the 30 s until its first
+	// byte was due.
+	unproven bool
+	seats    []*seat
 }
 
 // free returns the number of slots that may be granted now.
 func (s *server) free() int {
-	if s.waiting || s.leaving {
+	if s.waiting || s.leaving || s.unproven {
 		return 0
 	}
 	free := max(0, s.limit-s.inUse-s.foreign)
