entry, contract, peer: long queues are reported once a second

Cause: every arrival and every grant sent a demand row to every home, and each second all rows went to all homes. A home needs an exact count only when little is left. Changes of long queues now wait for the repeat, and a repeat without changes is a sign of life that a home without memory answers with an error. A report that was overtaken is an error too, so that the entry reports again.

--- a/contract/demand.go
+++ b/contract/demand.go
@@ -171,6 +171,9 @@
 	}
 	l.wake()
 	now := time.Now()
+	if !r.Full && len(r.Demands) == 0 {
+		return l.alive(r.Entry, now)
+	}
 	l.mu.Lock()
 	e := l.entry(r.Entry)
 	e.seen = now
@@ -194,6 +197,19 @@
 	return nil
 }
 
+// alive keeps the demands of an entry that repeats them by a sign of life. It is
+// an error if there are none, as after a restart: the entry then reports all.
+func (l *Ledger) alive(vm string, now time.Time) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entries[vm]
+	if e == nil || len(e.demands) == 0 {
+		return wigeonladder.Errorf(wigeonladder.CodeNotFound, vm, "no demands of this entry are known")
+	}
+	e.seen = now
+	return nil
+}
+
 // entry returns the record of an entry daemon.
 func (l *Ledger) entry(vm string) *entry {
 	e := l.entries[vm]
--- a/contract/ledger_test.go
+++ b/contract/ledger_test.go
@@ -321,3 +321,22 @@
 		b.is.True(b.ask("e1", "w").OK)
 	})
 }
+
+// Guards against demands that end although their entry gives a sign of life, and
+// against a home without memory that takes the sign for a report.
+func TestSignOfLife(t *testing.T) {
+	run(t, func(b *bench) {
+		alive := func(vm string) error {
+			return b.ledger.Demand(context.Background(), wigeonladder.DemandReport{Entry: vm})
+		}
+		b.demand("e1", "w", 5, wigeonladder.UrgencyNormal, 0)
+		for range 4 {
+			time.Sleep(demandLife / 2)
+			b.is.NoErr(alive("e1"))
+		}
+		b.is.Equal(len(b.ledger.Dump().Demands), 1)
+		var e *wigeonladder.Error
+		b.is.True(errors.As(alive("e2"), &e))
+		b.is.Equal(e.Code, wigeonladder.CodeNotFound)
+	}, 1)
+}
--- a/entry/contact.go
+++ b/entry/contact.go
@@ -18,6 +18,14 @@
 	releaseGap = 2 * time.Millisecond
 	// callLimit bounds one call of a home.
 	callLimit = 500 * time.Millisecond
+	// plenty is the number of waiting requests of a row from which on its exact
+	// count is not urgent, scarce what a home must know of at least: it may use
+	// up so many before the next report arrives.
+	plenty = 8
+	scarce = 4
+	// repeatFull is the number of repeats, one a second, between two reports of
+	// all rows.
+	repeatFull = 10
 	// contactLife is how long a contact that is no member is kept.
 	contactLife = 30 * time.Second
 )
@@ -26,9 +34,14 @@
 type contact struct {
 	vm     string
 	cancel context.CancelFunc
-	// dirty names the rows to report, full asks for a report of all rows.
+	// dirty names the rows to report now, later those that the next repeat may
+	// report. full asks for a report of all rows, alive for a sign of life.
 	dirty map[laneKey]bool
+	later map[laneKey]bool
 	full  bool
+	alive bool
+	// told is what the home knows of each row.
+	told map[laneKey]told
 	// reported is true while the home may hold demands of this entry.
 	reported bool
 	releases []wigeonladder.Release
@@ -41,6 +54,13 @@
 	ended   chan struct{}
 }
 
+// told is what a home knows of one row: the waiting requests that were last
+// reported, less the contracts that came from it since, and the highest urgency.
+type told struct {
+	waiting int
+	urgency wigeonladder.Urgency
+}
+
 // freeSlots is what a home last said of its free slots.
 type freeSlots struct {
 	slots int
@@ -82,6 +102,8 @@
 		vm:      vm,
 		cancel:  cancel,
 		dirty:   map[laneKey]bool{},
+		later:   map[laneKey]bool{},
+		told:    map[laneKey]told{},
 		full:    true,
 		free:    map[laneKey]freeSlots{},
 		used:    time.Now(),
@@ -130,15 +152,52 @@
 	}
 }
 
-// dirty marks a row for the next report to every home that could serve it.
+// dirty marks a row for the next report to every home that could serve it. A
+// change that no home needs to know now waits for the next repeat.
 func (q *Queue) dirty(k laneKey) {
 	for _, vm := range q.view.homes(k.service, k.model) {
 		c := q.contact(vm)
+		if vm != q.self && q.routine(c, k) {
+			c.later[k] = true
+			continue
+		}
 		c.dirty[k] = true
 		c.wake()
 	}
 }
 
+// routine reports whether a home knows enough of a row: much waits, it knows of
+// more work than it can grant before the next repeat, and nothing more urgent
+// came. Then an exact count changes none of its decisions.
+func (q *Queue) routine(c *contact, k laneKey) bool {
+	n := q.lane(k)
+	if n == nil || n.length < plenty {
+		return false
+	}
+	t := c.told[k]
+	return t.waiting > scarce && t.urgency >= wigeonladder.Urgency(n.head().level)
+}
+
+// granted counts a contract down from what its home knows of the row.
+func (q *Queue) granted(c wigeonladder.Contract, k laneKey) {
+	home := q.contacts[q.view.servers[c.Server].home]
+	if home == nil {
+		return
+	}
+	t := home.told[k]
+	t.waiting--
+	home.told[k] = t
+}
+
+// lane returns the lane of a row; nil if nothing waits there.
+func (q *Queue) lane(k laneKey) *lane {
+	l := q.lines[k.service]
+	if l == nil || l.shelves[k.workspace] == nil {
+		return nil
+	}
+	return l.shelves[k.workspace].lanes[k.model]
+}
+
 // dirtyShelf marks all rows of a workspace.
 func (q *Queue) dirtyShelf(service, workspace string) {
 	l := q.lines[service]
@@ -161,15 +220,22 @@
 	}
 }
 
-// repeat reports all rows again to the homes that hold demands of this entry.
+// repeat reports the rows that could wait, or sends a sign of life, to the homes
+// that hold demands of this entry. Every repeatFull times it reports all rows.
 func (q *Queue) repeat() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.repeats++
 	for _, c := range q.contacts {
-		if c.reported {
-			c.full = true
-			c.wake()
+		if !c.reported {
+			continue
 		}
+		c.full = c.full || q.repeats%repeatFull == 0
+		c.alive = true
+		for k := range c.later {
+			c.dirty[k] = true
+		}
+		c.wake()
 	}
 }
 
@@ -189,6 +255,11 @@
 	defer q.mu.Unlock()
 	c.full = true
 	c.reported = true
+	if CodeOf(err) == wigeonladder.CodeNotFound {
+		// The home restarted without memory or took its servers over.
+		c.wake()
+		return
+	}
 	c.failed = time.Now()
 }
 
@@ -204,12 +275,21 @@
 			r.Demands = append(r.Demands, q.row(k))
 		}
 	}
-	due := len(r.Demands) > 0 || (c.full && c.reported)
+	for _, d := range r.Demands {
+		c.told[laneKey{d.Service, d.Workspace, d.Model}] = told{d.Waiting, d.Urgency}
+	}
+	due := len(r.Demands) > 0 || (c.full && c.reported) || c.alive
 	if c.full {
 		c.reported = len(r.Demands) > 0
 	}
 	c.reported = c.reported || len(r.Demands) > 0
-	c.full = false
+	if c.full {
+		clear(c.later)
+	}
+	for k := range c.dirty {
+		delete(c.later, k)
+	}
+	c.full, c.alive = false, false
 	clear(c.dirty)
 	if due {
 		c.used = time.Now()
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -34,6 +34,7 @@
 		q.reportLater(c.Service, c.Workspace)
 		return reason
 	}
+	q.granted(c, w.lane.laneKey)
 	q.drop(q.lines[c.Service], w)
 	q.hold(c, w.request)
 	// The home takes the contract for an answer to one row of the workspace;
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -55,6 +55,8 @@
 	answers  map[string]*answer
 	recalled recalled
 	affinity map[string]*contract.Affinity
+	// repeats counts the repeats of demand reports.
+	repeats int
 	// beat is the time of the last tick.
 	beat time.Time
 	// trusted is the time from which grants are taken.
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -136,7 +136,7 @@
 }
 
 // takeDemand passes a report on unless a later one of the same sender came
-// before. The sender repeats all its demands each second.
+// before. Then it is an error, upon which the sender reports all its demands.
 func (m *Mesh) takeDemand(ctx context.Context, home wigeonladder.Home, d demand) error {
 	m.mu.Lock()
 	r := m.remote(d.Report.Entry)
@@ -146,7 +146,7 @@
 	}
 	m.mu.Unlock()
 	if stale {
-		return nil
+		return wigeonladder.Errorf(wigeonladder.CodeNotFound, d.Report.Entry, "a later demand report came before")
 	}
 	return home.Demand(ctx, d.Report)
 }
