--- a/cmd/wigeonladder/serve.go
+++ b/cmd/wigeonladder/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/logfmt"
+	"github.com/pkg/errors"
 
 	"github.com/wigeonladder/wigeonladder/daemon"
 	"github.com/wigeonladder/wigeonladder/setting"
@@ -25,6 +26,9 @@
 		if defaults {
 			return printDefaults(out)
 		}
+		if file == "" {
+			return errors.New("name a settings file, or use --defaults to see the default settings")
+		}
 		data, err := os.ReadFile(file)
 		if err != nil {
 			return err
