contract, entry, retry: one set for what is remembered for a time; smaller files

contract and entry each had a set of contracts that forgets after 10 s; both use contract.Recent now. No behaviour changed.

--- a/contract/ledger.go
+++ b/contract/ledger.go
@@ -18,6 +18,9 @@
 	pauseGap = time.Second
 	// demandLife is the time after which the demands of a silent entry end.
 	demandLife = 3 * time.Second
+	// endedLife is the least time for which an ended contract is remembered. A
+	// renewal that was sent before the release cannot arrive later than this.
+	endedLife = 10 * time.Second
 	// callLimit bounds one call of an entry.
 	callLimit = time.Second
 )
@@ -56,9 +59,11 @@
 	leases  map[wigeonladder.ContractID]*lease
 	entries map[string]*entry
 	members []string
-	ended   tombs
-	random  *rand.Rand
-	number  uint64
+	// ended holds the ended contracts, so that a late renewal does not count
+	// them again and a late release frees nothing.
+	ended  Recent[wigeonladder.ContractID]
+	random *rand.Rand
+	number uint64
 	// beat is the time of the last tick.
 	beat time.Time
 }
@@ -95,6 +100,7 @@
 		leases:  map[wigeonladder.ContractID]*lease{},
 		entries: map[string]*entry{},
 		beat:    time.Now(),
+		ended:   Recent[wigeonladder.ContractID]{Life: endedLife},
 		random:  rand.New(rand.NewPCG(o.Seed, 2)),
 	}
 	o.Journal.Note("", "ledger_start", "seed", o.Seed)
--- a/contract/renew.go
+++ b/contract/renew.go
@@ -77,7 +77,7 @@
 func (l *Ledger) takeOver(h wigeonladder.Held) *lease {
 	c := h.Contract
 	s := l.servers[c.Server]
-	if s == nil || l.ended.has(c.ID) {
+	if s == nil || l.ended.Has(c.ID) {
 		return nil
 	}
 	t := &lease{contract: c, server: s, charged: max(c.Estimate, h.Cost)}
@@ -109,7 +109,7 @@
 	changed := map[*pool]bool{}
 	for _, r := range rs {
 		t := l.leases[r.ID]
-		l.ended.add(r.ID, now)
+		l.ended.Add(r.ID, now)
 		if t == nil {
 			continue
 		}
--- a/entry/ask.go
+++ b/entry/ask.go
@@ -41,7 +41,7 @@
 		}
 		c := o.Contract.WithReceived(time.Now())
 		q.mu.Lock()
-		withdrawn := q.recalled.has(c.ID)
+		withdrawn := q.recalled.Has(c.ID)
 		if !withdrawn {
 			q.hold(c, r)
 		}
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -47,7 +47,7 @@
 
 // match returns the first request that a contract fits, or why there is none.
 func (q *Queue) match(c wigeonladder.Contract) (w *waiter, reason string) {
-	if q.recalled.has(c.ID) {
+	if q.recalled.Has(c.ID) {
 		return nil, "recalled"
 	}
 	if c.Received.Sub(q.beat) > pauseGap || c.Received.Before(q.trusted) {
@@ -98,7 +98,7 @@
 		h := q.held[id]
 		switch {
 		case h == nil:
-			q.recalled.add(id, now)
+			q.recalled.Add(id, now)
 			missing = append(missing, wigeonladder.Release{ID: id, Unused: true})
 		case !h.used:
 			h.recalled = true
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -16,6 +16,8 @@
 	// pauseGap is the time without a tick after which the queue takes itself
 	// for paused.
 	pauseGap = time.Second
+	// recalledLife is the least time for which a recall is remembered.
+	recalledLife = 10 * time.Second
 	// distrust is how long after a pause grants are given back: they may have
 	// waited in a socket for longer than their use-by time. It is also the time
 	// after which a refused demand is reported again.
@@ -53,7 +55,8 @@
 	held     map[wigeonladder.ContractID]*hold
 	contacts map[string]*contact
 	answers  map[string]*answer
-	recalled recalled
+	// recalled holds contracts that were recalled before they arrived.
+	recalled contract.Recent[wigeonladder.ContractID]
 	affinity map[string]*contract.Affinity
 	// repeats counts the repeats of demand reports.
 	repeats int
@@ -90,6 +93,7 @@
 		answers:  map[string]*answer{},
 		affinity: map[string]*contract.Affinity{},
 		beat:     time.Now(),
+		recalled: contract.Recent[wigeonladder.ContractID]{Life: recalledLife},
 	}
 	q.refresh()
 	go func() {
--- /dev/null
+++ b/retry/crash_test.go
@@ -0,0 +1,125 @@
+package retry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// Guards against a request that takes down one server after another, and
+// against innocents that pay for it.
+func TestCrashingRequest(t *testing.T) {
+	for _, guarded := range []bool{true, false} {
+		t.Run(fmt.Sprintf("guarded %v", guarded), func(t *testing.T) {
+			bubble(t, 8, 8, func(ctx context.Context, is *is.I, g *rig) {
+				s := NewSuspects()
+				n := g.runner(s)
+				for range 500 {
+					n.o.Budget.Earn("v", "w")
+				}
+				var innocents sync.WaitGroup
+				var mu sync.Mutex
+				var innocentErr error
+				work, stop := context.WithCancel(ctx)
+				for i := range 24 {
+					innocents.Go(func() {
+						for k := 0; work.Err() == nil; k++ {
+							_, err := n.Run(ctx, request(fmt.Sprint("good", i, k)), &answer{})
+							mu.Lock()
+							innocentErr = errors.Join(innocentErr, err)
+							mu.Unlock()
+						}
+					})
+				}
+				passed := 0
+				for range 20 {
+					time.Sleep(time.Second)
+					if !guarded {
+						s.forget()
+					}
+					if _, err := n.Run(ctx, request("crash"), &answer{}); err == nil {
+						passed++
+					}
+				}
+				stop()
+				innocents.Wait()
+				is.Equal(passed, 0)
+				is.NoErr(innocentErr) // every innocent request ends well
+				t.Logf("servers lost: %d", len(g.lost))
+				if guarded {
+					is.Equal(len(g.lost), refuseAt)
+					_, err := n.Run(ctx, request("crash"), &answer{})
+					coded(is, err, wigeonladder.CodeSuspect)
+					time.Sleep(forgiveAfter)
+					is.NoErr(s.Refused(Fingerprint(request("crash")), ""))
+				} else {
+					is.Equal(len(g.lost), 20*refuseAt)
+				}
+			})
+		})
+	}
+}
+
+// Guards against suspects that run together, so that one is blamed for the
+// break by the other.
+func TestSuspectsRunApart(t *testing.T) {
+	bubble(t, 3, 8, func(ctx context.Context, is *is.I, g *rig) {
+		s := NewSuspects()
+		n := g.runner(s)
+		var mu sync.Mutex
+		running, most := map[string]int{}, 0
+		g.fail = func(a wigeonladder.Attempt, _ wigeonladder.Sink) error {
+			mu.Lock()
+			running[a.Server.Name]++
+			most = max(most, running[a.Server.Name])
+			mu.Unlock()
+			time.Sleep(workTime)
+			mu.Lock()
+			running[a.Server.Name]--
+			mu.Unlock()
+			return nil
+		}
+		errs := make([]error, 12)
+		var all sync.WaitGroup
+		for i := range errs {
+			r := request(fmt.Sprint("x", i))
+			s.Broke(Fingerprint(r), "elsewhere")
+			all.Go(func() { _, errs[i] = n.Run(ctx, r, &answer{}) })
+		}
+		all.Wait()
+		is.NoErr(errors.Join(errs...))
+		is.Equal(most, 1) // one suspect on a server
+		for i := range errs {
+			is.True(!s.Suspected(Fingerprint(request(fmt.Sprint("x", i))))) // cleared
+		}
+		is.Equal(len(s.probing), 0)
+	})
+}
+
+// Guards against a caller that sends a crashing request again before the other
+// daemons know of it: its error waits for the next heartbeat.
+func TestNewsBeforeError(t *testing.T) {
+	bubble(t, 4, 1, func(ctx context.Context, is *is.I, g *rig) {
+		n := g.runner(NewSuspects())
+		for range 20 {
+			n.o.Budget.Earn("v", "w")
+		}
+		var broke time.Time
+		n.o.Spread = func() { broke = time.Now() }
+		_, err := n.Run(ctx, request("crash"), &answer{})
+		coded(is, err, wigeonladder.CodeBroken)
+		is.Equal(len(g.lost), 2)
+		is.True(time.Since(broke) >= newsWait)
+		start := time.Now()
+		_, err = n.Run(ctx, request("crash"), &answer{})
+		coded(is, err, wigeonladder.CodeSuspect)
+		is.True(time.Since(start) < newsWait) // a refusal without a break does not wait
+	})
+}
