--- a/platform/client_test.go
+++ b/configservice/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package configservice_test
 
 import (
 	"bytes"
@@ -12,15 +12,15 @@
 	"go.uber.org/goleak"
 
 	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/configservice"
 	"github.com/wigeonladder/wigeonladder/fake"
-	"github.com/wigeonladder/wigeonladder/platform"
 )
 
 // limit bounds every wait of these tests; none is expected to reach it.
 const limit = 20 * time.Second
 
 // serve starts a stand-in platform on loopback and a client of it.
-func serve(t *testing.T) (*fake.Platform, *platform.Client, string) {
+func serve(t *testing.T) (*fake.Platform, *configservice.Client, string) {
 	t.Helper()
 	leaks := goleak.IgnoreCurrent()
 	t.Cleanup(func() {
@@ -37,7 +37,7 @@
 	p := fake.NewPlatform()
 	ended := make(chan error, 1)
 	go func() { ended <- p.Serve(ln) }()
-	c := platform.NewClient(ln.Addr().String())
+	c := configservice.NewClient(ln.Addr().String())
 	t.Cleanup(func() {
 		c.Close()
 		is.New(t).NoErr(p.Close())
@@ -144,7 +144,7 @@
 	p, c, _ := serve(t)
 	ctx, cancel := context.WithCancel(bounded(t))
 	parse := func([]byte) (wigeonladder.Config, error) { return wigeonladder.Config{Revision: 8}, nil }
-	w := platform.NewWatcher(ctx, platform.Options{Platform: c, Parse: parse, Seed: 1})
+	w := configservice.NewWatcher(ctx, configservice.Options{Platform: c, Parse: parse, Seed: 1})
 	p.Publish([]byte(`{"revision":8}`))
 	is.NoErr(w.WaitReady(ctx))
 	is.Equal(w.Config().Revision, uint64(8))
--- a/platform/doc.go
+++ b/configservice/doc.go
@@ -1,4 +1,4 @@
-// Package platform speaks to the platform's configuration service. Client is
+// Package configservice speaks to the configuration service that publishes registers and rules. Client is
 // its HTTP protocol; Watcher keeps the newest accepted configuration and list
 // of VMs of one daemon.
 //
@@ -6,4 +6,4 @@
 // accepts a document if it is valid and its revision is higher, whether the
 // document comes from the platform or from a peer. Who asks peers, and when, is
 // left to others.
-package platform
+package configservice
--- a/platform/watcher.go
+++ b/configservice/watcher.go
@@ -1,4 +1,4 @@
-package platform
+package configservice
 
 import (
 	"context"
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -9,13 +9,13 @@
 	"github.com/apex/log"
 
 	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/configservice"
 	"github.com/wigeonladder/wigeonladder/contract"
 	"github.com/wigeonladder/wigeonladder/entry"
 	"github.com/wigeonladder/wigeonladder/fair"
 	"github.com/wigeonladder/wigeonladder/limit"
 	"github.com/wigeonladder/wigeonladder/operator"
 	"github.com/wigeonladder/wigeonladder/peer"
-	"github.com/wigeonladder/wigeonladder/platform"
 	"github.com/wigeonladder/wigeonladder/retry"
 	"github.com/wigeonladder/wigeonladder/setting"
 	"github.com/wigeonladder/wigeonladder/ticket"
@@ -49,7 +49,7 @@
 	incarnation string
 	journal     *operator.Journal
 
-	watcher  *platform.Watcher
+	watcher  *configservice.Watcher
 	counters *fair.Counters
 	mesh     *peer.Mesh
 	ledger   *contract.Ledger
@@ -92,7 +92,7 @@
 // build creates the parts in the order in which they need each other.
 func (d *Core) build(ctx context.Context, o CoreOptions) {
 	hold := make(chan struct{})
-	d.watcher = platform.NewWatcher(ctx, platform.Options{
+	d.watcher = configservice.NewWatcher(ctx, configservice.Options{
 		Platform: o.Platform,
 		Parse: func(data []byte) (wigeonladder.Config, error) {
 			return setting.ParseConfig("config", data)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,8 +13,8 @@
 	"github.com/wigeonladder/wigeonladder"
 	"github.com/wigeonladder/wigeonladder/backend"
 	"github.com/wigeonladder/wigeonladder/caller"
+	"github.com/wigeonladder/wigeonladder/configservice"
 	"github.com/wigeonladder/wigeonladder/operator"
-	"github.com/wigeonladder/wigeonladder/platform"
 	"github.com/wigeonladder/wigeonladder/setting"
 )
 
@@ -60,7 +60,7 @@
 		Settings:    o.Settings,
 		Incarnation: hex.EncodeToString(id[:6]),
 		Seed:        binary.BigEndian.Uint64(id[8:]),
-		Platform:    platform.NewClient(o.Settings.Platform),
+		Platform:    configservice.NewClient(o.Settings.Platform),
 		Backend: func(kind func(string) wigeonladder.Kind) wigeonladder.Backend {
 			return backend.NewClient(backend.Options{Kind: kind, Local: hostOf(o.Settings.Peer)})
 		},
--- a/daemon/dump.go
+++ b/daemon/dump.go
@@ -4,12 +4,12 @@
 	"expvar"
 	"runtime"
 
+	"github.com/wigeonladder/wigeonladder/configservice"
 	"github.com/wigeonladder/wigeonladder/contract"
 	"github.com/wigeonladder/wigeonladder/entry"
 	"github.com/wigeonladder/wigeonladder/fair"
 	"github.com/wigeonladder/wigeonladder/operator"
 	"github.com/wigeonladder/wigeonladder/peer"
-	"github.com/wigeonladder/wigeonladder/platform"
 )
 
 // dumpDecisions is the number of newest decisions in a dump.
@@ -17,17 +17,17 @@
 
 // Dump is the state of a daemon for operators.
 type Dump struct {
-	Name        string           `json:"name"`
-	Zone        string           `json:"zone"`
-	Incarnation string           `json:"incarnation"`
-	Stop        operator.Status  `json:"stop"`
-	Config      platform.Dump    `json:"config"`
-	Members     []string         `json:"members"`
-	Links       peer.Dump        `json:"links"`
-	Home        contract.Dump    `json:"home"`
-	Entry       entry.Dump       `json:"entry"`
-	Counters    fair.Dump        `json:"counters"`
-	Decisions   []operator.Event `json:"decisions"`
+	Name        string             `json:"name"`
+	Zone        string             `json:"zone"`
+	Incarnation string             `json:"incarnation"`
+	Stop        operator.Status    `json:"stop"`
+	Config      configservice.Dump `json:"config"`
+	Members     []string           `json:"members"`
+	Links       peer.Dump          `json:"links"`
+	Home        contract.Dump      `json:"home"`
+	Entry       entry.Dump         `json:"entry"`
+	Counters    fair.Dump          `json:"counters"`
+	Decisions   []operator.Event   `json:"decisions"`
 }
 
 // Dump returns the state of the daemon.
