--- a/backend/pool.go
+++ b/backend/pool.go
@@ -22,6 +22,8 @@
 	reader  *bufio.Reader
 	address string
 	idle    time.Time
+	// keep is how long the server keeps the connection idle; 0 if unknown.
+	keep time.Duration
 }
 
 // pool keeps idle connections per address.
@@ -57,7 +59,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &link{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), address: address}, nil
+	return newPoolLink(c, address), nil
+}
+
+// newPoolLink returns a connection that was not used yet.
+func newPoolLink(c net.Conn, address string) *link {
+	return &link{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), address: address}
 }
 
 // pop removes the connection that was idle for the shortest time.
--- /dev/null
+++ b/backend/send.go
@@ -0,0 +1,302 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+const (
+	// connectWithin bounds the opening of a connection. It covers one lost
+	// opening packet of a server in another zone.
+	connectWithin = 1200 * time.Millisecond
+	// unackedWithin is how long sent bytes may stay unacknowledged before the
+	// connection counts as broken.
+	unackedWithin = 2 * time.Second
+	// probeAfter, probeEvery and probeCount find connections that went silent.
+	probeAfter = time.Second
+	probeEvery = time.Second
+	probeCount = 3
+	// relayIdle is how long an idle connection is kept if the server does not
+	// say; onceIdle is the same for calls that may not be repeated, because a
+	// server that closes the connection meanwhile leaves their outcome open.
+	relayIdle = 10 * time.Second
+	onceIdle  = time.Second
+	// keepMargin is taken off the idle time that a server states.
+	keepMargin = time.Second
+	// relayMaxIdle bounds the idle connections to one server.
+	relayMaxIdle = 64
+	// maxForeign is the number of answers to other calls that are skipped
+	// before the own one.
+	maxForeign = 2
+	// maxBackground is the size of a request in bytes from which it is written
+	// while the answer is awaited: a server may answer a long request before it
+	// has read it.
+	maxBackground = 4 << 10
+	// maxRelayAnswer bounds a whole answer in bytes, maxRelayEvent one event.
+	maxRelayAnswer = 16 << 20
+	maxRelayEvent  = 1 << 20
+)
+
+// Sending is one sending of a call to one backend server.
+type Sending struct {
+	Call      *wigeonladder.Call
+	Instance  wigeonladder.Instance
+	Workspace string
+	// Left is the time that is left for the answer.
+	Left time.Duration
+	// After is the id of the last event that the caller has, for a stream that
+	// goes on; empty otherwise.
+	After string
+	// Once is true for a call that may not be repeated.
+	Once bool
+	// Check is called at the last step before the first byte.
+	Check func() error
+}
+
+// Head is what the head of an answer says.
+type Head struct {
+	wigeonladder.Answer
+	// ID is the id of the call that was answered; empty if the answer has none.
+	ID string
+	// Signed is true if the answer carries the server's signature.
+	Signed bool
+	// NotRun is true if the server says that the call did not run.
+	NotRun bool
+	// Encoded is true if the body is not the server's own.
+	Encoded bool
+	// Keep is how long the server keeps an idle connection; 0 if it does not
+	// say.
+	Keep time.Duration
+}
+
+// Codec translates sendings and answers to what backend servers speak.
+type Codec interface {
+	// Fill writes the headers of a sending; method, path and body are set.
+	Fill(req *fasthttp.Request, s Sending)
+	// Head reads the head of an answer.
+	Head(h *fasthttp.ResponseHeader) Head
+}
+
+// Relay sends calls to backend servers and hands on their answers unchanged.
+type Relay struct {
+	codec Codec
+	pool  *pool
+}
+
+// NewRelay returns a relay without connections.
+func NewRelay(codec Codec) *Relay {
+	d := net.Dialer{
+		Timeout: connectWithin,
+		Control: failFast,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probeCount,
+		},
+	}
+	return &Relay{codec: codec, pool: newPool(d, relayIdle, relayMaxIdle)}
+}
+
+// failFast bounds the time for which a connection waits for acknowledgements.
+func failFast(_, _ string, c syscall.RawConn) error {
+	var err error
+	if e := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedWithin.Milliseconds())) // #nosec G115
+	}); e != nil {
+		return e
+	}
+	return err
+}
+
+// Close closes the idle connections.
+func (r *Relay) Close() { r.pool.close() }
+
+// aliveWithin bounds the connection that tells whether a server has crashed.
+const aliveWithin = 300 * time.Millisecond
+
+// Alive reports whether a server accepts connections. The connection is kept.
+func (r *Relay) Alive(i wigeonladder.Instance) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), aliveWithin)
+	defer cancel()
+	c, err := r.pool.dialer.DialContext(ctx, "tcp", i.Address)
+	if err != nil {
+		return false
+	}
+	r.pool.put(i.Address, newPoolLink(c, i.Address), true)
+	return true
+}
+
+// Response is an answer whose body is still to be read. It must be closed.
+type Response struct {
+	Head
+	relay   *Relay
+	x       *exchange
+	ctx     context.Context
+	place   string
+	events  *eventReader
+	written chan error
+	whole   bool
+}
+
+// Send sends a call and reads the head of its answer. The error tells by its
+// code whether the call may have run.
+func (r *Relay) Send(ctx context.Context, s Sending) (*Response, *wigeonladder.Error) {
+	name := s.Instance.ID
+	l, err := r.take(ctx, s)
+	if err != nil {
+		return nil, asError(connectError(ctx, name, err))
+	}
+	if err := s.Check(); err != nil {
+		r.pool.put(l.address, l, true)
+		return nil, asError(err)
+	}
+	p := &Response{relay: r, x: newExchange(ctx, l), ctx: ctx, place: name}
+	if err := p.write(s); err != nil {
+		p.Close()
+		if p.x.written == 0 {
+			return nil, asError(connectError(ctx, name, err))
+		}
+		return nil, asError(readError(ctx, name, err))
+	}
+	if err := p.readHead(s.Call.ID); err != nil {
+		p.Close()
+		return nil, asError(readError(ctx, name, err))
+	}
+	return p, nil
+}
+
+// take returns a connection for a sending.
+func (r *Relay) take(ctx context.Context, s Sending) (*link, error) {
+	for {
+		l, err := r.pool.take(ctx, s.Instance.Address)
+		if err != nil || l.idle.IsZero() {
+			return l, err
+		}
+		idle := time.Since(l.idle)
+		if !(s.Once && idle > onceIdle) && !(l.keep > 0 && idle > l.keep-keepMargin) {
+			return l, nil
+		}
+		_ = l.Close()
+	}
+}
+
+// asError returns the *Error that an error is or wraps.
+func asError(err error) *wigeonladder.Error {
+	var e *wigeonladder.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return wigeonladder.Errorf(wigeonladder.CodeBackend, "", "%v", err)
+}
+
+// write sends the request, a long one in the background.
+func (p *Response) write(s Sending) error {
+	req := fasthttp.AcquireRequest()
+	req.Header.SetMethod(s.Call.Method)
+	req.Header.SetRequestURI(s.Call.Path)
+	req.Header.SetNoDefaultContentType(true)
+	req.SetBodyRaw(s.Call.Body)
+	p.relay.codec.Fill(req, s)
+	if len(s.Call.Body) < maxBackground {
+		defer fasthttp.ReleaseRequest(req)
+		return p.x.write(req)
+	}
+	p.written = make(chan error, 1)
+	go func() {
+		defer fasthttp.ReleaseRequest(req)
+		p.written <- p.x.write(req)
+	}()
+	return nil
+}
+
+// readHead reads the head of the answer to a call. Whole answers to other calls
+// that lie in front of it are skipped.
+func (p *Response) readHead(id string) error {
+	for range maxForeign + 1 {
+		if err := p.x.readHeader(); err != nil {
+			return err
+		}
+		p.Head = p.relay.codec.Head(&p.x.header)
+		if p.ID == id || p.ID == "" && p.NotRun {
+			p.x.link.keep = p.Keep
+			return nil
+		}
+		if p.x.header.ContentLength() < -1 {
+			break
+		}
+		if _, err := p.x.readWhole(maxRelayAnswer); err != nil {
+			return err
+		}
+	}
+	return wigeonladder.Errorf(wigeonladder.CodeCrossed, p.place, "the answer belongs to call %q", p.ID)
+}
+
+// Body reads the whole body. An end that looks like a break is an error.
+func (p *Response) Body() ([]byte, *wigeonladder.Error) {
+	var b []byte
+	var err error
+	if p.x.header.ContentLength() < -1 && !p.x.noBody {
+		b, err = io.ReadAll(io.LimitReader(p.x.body, maxRelayAnswer+1))
+		if err == nil && len(b) > maxRelayAnswer {
+			err = errTooLong
+		}
+	} else {
+		b, err = p.x.readWhole(maxRelayAnswer)
+	}
+	if err != nil {
+		return nil, asError(readError(p.ctx, p.place, err))
+	}
+	p.whole = true
+	return b, nil
+}
+
+// Event returns the next event of a stream with its framing; it is valid until
+// the next call. At the end of a complete stream it returns nil.
+func (p *Response) Event() ([]byte, *wigeonladder.Error) {
+	if p.events == nil {
+		p.events = newEventReader(p.x.body, maxRelayEvent)
+	}
+	e, err := p.events.next()
+	if errors.Is(err, io.EOF) {
+		p.whole = true
+		return nil, nil
+	}
+	if err != nil {
+		return nil, asError(readError(p.ctx, p.place, err))
+	}
+	return e, nil
+}
+
+// Close ends the exchange. The connection is kept only if the request was
+// written and the answer read to their ends.
+func (p *Response) Close() {
+	reuse := p.whole && p.isWritten()
+	if !p.x.end() {
+		reuse = false
+	}
+	if !reuse {
+		_ = p.x.link.Close()
+		return
+	}
+	p.relay.pool.put(p.x.link.address, p.x.link, true)
+}
+
+// isWritten reports whether the whole request was written.
+func (p *Response) isWritten() bool {
+	if p.written == nil {
+		return true
+	}
+	select {
+	case err := <-p.written:
+		return err == nil
+	default:
+		return false
+	}
+}
--- a/cmd/wigeonladder/main.go
+++ b/cmd/wigeonladder/main.go
@@ -40,7 +40,7 @@
 	p := flaggy.NewParser("wigeonladder")
 	p.Description = "a router fleet for workspaces that share capacity fairly"
 	p.Version = version
-	commands := []command{newServe(), newCheck(), newDump(), newExplain(), newDrain(), newDemo()}
+	commands := []command{newServe(), newCheck(), newDump(), newExplain(), newDrain(), newDemo(), newEdge()}
 	for _, c := range commands {
 		p.AttachSubcommand(c.sub, 1)
 	}
--- a/code.go
+++ b/code.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sort"
 	"strings"
+	"time"
 )
 
 // Outcome says what is known of the work when a request ends with a code.
@@ -34,6 +35,11 @@
 	CodeNoService     Code = 105 // the register has no such service or route
 	CodeNoModel       Code = 106 // no backend server has the model
 	CodeNoWorkspace   Code = 107 // the workspace was removed
+	CodeUnknownKey    Code = 108 // the API key belongs to no workspace
+	// CodeHeaderTooLarge means that the header exceeds the limit.
+	CodeHeaderTooLarge Code = 109
+	// CodeSlowCaller means that the request was not sent in time.
+	CodeSlowCaller Code = 110
 
 	CodeQueueFull   Code = 201 // the queue is full
 	CodeWaitTooLong Code = 202 // no slot within the waiting limit
@@ -41,6 +47,8 @@
 	CodeCallerGone  Code = 204 // the caller went before the work was sent
 	CodeNoServer    Code = 205 // the service has no live backend server
 	CodeContract    Code = 206 // the contract was used too late
+	CodeOverload    Code = 207 // the call would wait longer than it is worth
+	CodeStale       Code = 208 // the configuration is too old to trust keys
 
 	CodeConnect    Code = 301 // no connection to the backend server; nothing was sent
 	CodeRefused    Code = 302 // the backend server refused before running
@@ -80,12 +88,18 @@
 	CodeNoService:     {"no_service", NotRun, 404},
 	CodeNoModel:       {"no_model", NotRun, 404},
 	CodeNoWorkspace:   {"no_workspace", NotRun, 403},
+	CodeUnknownKey:    {"unknown_key", NotRun, 401},
+
+	CodeHeaderTooLarge: {"header_too_large", NotRun, 431},
+	CodeSlowCaller:     {"slow_caller", NotRun, 408},
 	CodeQueueFull:     {"queue_full", NotRun, 429},
 	CodeWaitTooLong:   {"wait_too_long", NotRun, 503},
 	CodeDraining:      {"draining", NotRun, 503},
 	CodeCallerGone:    {"caller_gone", NotRun, 499},
 	CodeNoServer:      {"no_server", NotRun, 503},
 	CodeContract:      {"contract_late", NotRun, 503},
+	CodeOverload:      {"overload", NotRun, 503},
+	CodeStale:         {"stale", NotRun, 503},
 	CodeConnect:       {"connect", NotRun, 502},
 	CodeRefused:       {"refused", NotRun, 503},
 	CodeBroken:        {"broken", MayHaveRun, 502},
@@ -139,6 +153,9 @@
 	Detail string
 	// RetryAfter is the number of seconds to wait before a retry; 0 for none.
 	RetryAfter int
+	// Wait is the time to wait before a retry where seconds are too coarse; it
+	// goes before RetryAfter.
+	Wait time.Duration
 }
 
 // Errorf returns an Error with a formatted detail.
@@ -160,6 +177,12 @@
 	return &e
 }
 
+// WithWait returns a copy of the error with the time to wait before a retry.
+func (e Error) WithWait(d time.Duration) *Error {
+	e.Wait = d
+	return &e
+}
+
 // Errors is a list of errors that are reported together.
 type Errors []*Error
 
--- /dev/null
+++ b/edge/operator.go
@@ -0,0 +1,101 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/wigeonladder/wigeonladder/place"
+)
+
+// Paths towards operators.
+const (
+	metricsPath = "/debug/vars"
+	dumpPath    = "/debug/state"
+	explainPath = "/debug/explain"
+)
+
+// operatorReadTimeout bounds the reading of one request of an operator.
+const operatorReadTimeout = 5 * time.Second
+
+// Dump is the state of a daemon.
+type Dump struct {
+	Name    string            `json:"name"`
+	Zone    string            `json:"zone"`
+	Ready   bool              `json:"ready"`
+	Leaving bool              `json:"leaving"`
+	Open    int               `json:"open"`
+	Version int64             `json:"version"`
+	Age     string            `json:"configurationAge"`
+	Daemons int               `json:"daemons"`
+	Peers   []string          `json:"peers"`
+	Servers []place.ServerRow `json:"servers"`
+}
+
+// Dump returns the state of the daemon.
+func (d *Daemon) Dump() Dump {
+	age, _ := d.book.Age()
+	s := Dump{
+		Name: d.settings.Name, Zone: d.settings.Zone, Ready: d.Ready(), Leaving: d.leaving.Load(),
+		Open: d.front.Open(), Age: age.String(), Daemons: d.daemons(), Peers: d.mesh.Members(), Servers: d.pool.Dump(),
+	}
+	if t := d.book.Table(); t != nil {
+		s.Version = t.Version()
+	}
+	return s
+}
+
+// serveOperators serves metrics and dumps, if the settings name an address.
+func (d *Daemon) serveOperators(ctx context.Context) error {
+	if d.settings.Metrics == "" {
+		return nil
+	}
+	l, err := listen(ctx, d.settings.Metrics)
+	if err != nil {
+		return errors.Wrap(err, "metrics")
+	}
+	vars := new(expvar.Map).Init()
+	vars.Set("services", d.meter)
+	vars.Set("events", d.journal.Counts())
+	vars.Set("open", expvar.Func(func() any { return d.front.Open() }))
+	vars.Set("daemons", expvar.Func(func() any { return d.daemons() }))
+	vars.Set("ready", expvar.Func(func() any { return d.Ready() }))
+	s := &fasthttp.Server{
+		NoDefaultServerHeader: true,
+		ReadTimeout:           operatorReadTimeout,
+		Handler: func(c *fasthttp.RequestCtx) {
+			c.SetContentType("application/json")
+			switch string(c.Path()) {
+			case metricsPath:
+				c.SetBodyString(vars.String())
+			case dumpPath:
+				writeJSON(c, d.Dump())
+			case explainPath:
+				writeJSON(c, d.journal.Explain(string(c.QueryArgs().Peek("request"))))
+			default:
+				c.SetStatusCode(fasthttp.StatusNotFound)
+			}
+		},
+	}
+	go func() {
+		if err := s.Serve(l); err != nil && ctx.Err() == nil {
+			d.journal.Note("", "operator_server_ended", "error", err)
+		}
+	}()
+	context.AfterFunc(ctx, func() { _ = l.Close() })
+	return nil
+}
+
+// writeJSON answers with a JSON document.
+func writeJSON(c *fasthttp.RequestCtx, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		c.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	c.SetBody(data)
+}
--- /dev/null
+++ b/exchange/mesh.go
@@ -0,0 +1,239 @@
+package exchange
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+const (
+	// reportPeriod is the time between two reports in a small fleet; with more
+	// than smallFleet daemons it grows in proportion, so that the messages that
+	// one daemon takes do not grow with the fleet.
+	reportPeriod = 50 * time.Millisecond
+	smallFleet   = 6
+	// quietPeriod is the longest time without a report.
+	quietPeriod = 400 * time.Millisecond
+	// chargesPeriod is the time between two reports with charges and suspects.
+	chargesPeriod = 200 * time.Millisecond
+	// aliveFor is how long a daemon counts as alive after its last report.
+	aliveFor = 1500 * time.Millisecond
+	// forgetAfter is the time without a connection after which a daemon that
+	// is no seed is no longer dialled.
+	forgetAfter = 20 * time.Second
+	// dialWithin, helloWithin and writeWithin bound one step with a peer.
+	dialWithin  = 500 * time.Millisecond
+	helloWithin = time.Second
+	writeWithin = time.Second
+	// redialMin and redialMax bound the pause before a peer is dialled again.
+	redialMin = 200 * time.Millisecond
+	redialMax = 2 * time.Second
+)
+
+// Options are what a Mesh needs.
+type Options struct {
+	Self     Member
+	Listener net.Listener
+	// Dial connects to another daemon.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Seeds returns addresses of daemons to try first.
+	Seeds func() []string
+	// Export returns the next report; with charges it also names these.
+	Export func(charges bool) Report
+	// Import takes over the report of another daemon.
+	Import  func(r Report)
+	Journal wigeonladder.Journal
+}
+
+// Mesh is the set of connections of one daemon to the others.
+type Mesh struct {
+	o   Options
+	ctx context.Context
+
+	mu    sync.Mutex
+	peers map[string]*peer
+	heard map[string]time.Time
+}
+
+// New starts a mesh. It ends with the context.
+func New(ctx context.Context, o Options) *Mesh {
+	m := &Mesh{o: o, ctx: ctx, peers: map[string]*peer{}, heard: map[string]time.Time{}}
+	context.AfterFunc(ctx, func() { _ = o.Listener.Close() })
+	go m.accept()
+	go m.report()
+	return m
+}
+
+// Alive returns the number of daemons that are alive, this one included.
+func (m *Mesh) Alive() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 1
+	for _, t := range m.heard {
+		if time.Since(t) < aliveFor {
+			n++
+		}
+	}
+	return n
+}
+
+// Members returns the addresses of the daemons that are dialled, sorted.
+func (m *Mesh) Members() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := make([]string, 0, len(m.peers))
+	for a := range m.peers {
+		l = append(l, a)
+	}
+	slices.Sort(l)
+	return l
+}
+
+// learn starts to dial a daemon that was not known.
+func (m *Mesh) learn(address string) {
+	if address == "" || address == m.o.Self.Address {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.peers[address] != nil {
+		return
+	}
+	p := &peer{mesh: m, address: address, out: make(chan json.RawMessage, outQueue)}
+	m.peers[address] = p
+	go p.run(m.ctx)
+}
+
+// forget drops a daemon that cannot be reached.
+func (m *Mesh) forget(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.peers, address)
+}
+
+// accept serves the connections that other daemons dial.
+func (m *Mesh) accept() {
+	for {
+		c, err := m.o.Listener.Accept()
+		if m.ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			m.o.Journal.Note("", "peer_accept_failed", "error", err)
+			pause(m.ctx, redialMin)
+			continue
+		}
+		newConn(m.ctx, c, jsonrpc2.HandlerWithError(m.serve))
+	}
+}
+
+// serve handles one message of another daemon.
+func (m *Mesh) serve(_ context.Context, _ *jsonrpc2.Conn, q *jsonrpc2.Request) (any, error) {
+	if q.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no parameters"}
+	}
+	switch q.Method {
+	case methodHello:
+		var v Member
+		if err := json.Unmarshal(*q.Params, &v); err != nil {
+			return nil, err
+		}
+		known := append(m.Members(), m.o.Self.Address)
+		m.learn(v.Address)
+		return known, nil
+	case methodReport:
+		var r Report
+		if err := json.Unmarshal(*q.Params, &r); err != nil {
+			m.o.Journal.Note("", "peer_report_unreadable", "error", err)
+			return nil, err
+		}
+		m.take(r)
+		return nil, nil
+	}
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: q.Method}
+}
+
+// take takes over a report.
+func (m *Mesh) take(r Report) {
+	if r.From == m.o.Self.Name {
+		return
+	}
+	m.mu.Lock()
+	last, known := m.heard[r.From]
+	m.heard[r.From] = time.Now()
+	m.mu.Unlock()
+	if !known || time.Since(last) >= aliveFor {
+		m.o.Journal.Note("", "peer_heard", "peer", r.From, "incarnation", r.Incarnation)
+	}
+	m.o.Import(r)
+}
+
+// report sends reports until the context ends.
+func (m *Mesh) report() {
+	var sent, charged time.Time
+	for pause(m.ctx, m.period()) {
+		for _, s := range m.o.Seeds() {
+			m.learn(s)
+		}
+		now := time.Now()
+		charges := now.Sub(charged) >= chargesPeriod
+		r := m.o.Export(charges)
+		if r.empty() && now.Sub(sent) < quietPeriod {
+			continue
+		}
+		if charges {
+			charged = now
+		}
+		sent = now
+		r.From, r.Incarnation = m.o.Self.Name, m.o.Self.Incarnation
+		m.broadcast(r)
+	}
+}
+
+// empty reports whether a report says nothing.
+func (r Report) empty() bool {
+	return len(r.Place.Loads) == 0 && len(r.Place.Sent) == 0 && r.Charges == nil && len(r.Suspects) == 0
+}
+
+// period is the time between two reports.
+func (m *Mesh) period() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return reportPeriod * time.Duration(max(len(m.peers), smallFleet)) / smallFleet
+}
+
+// broadcast sends a report to all daemons. One that does not keep up misses it.
+func (m *Mesh) broadcast(r Report) {
+	data, err := json.Marshal(r)
+	if err != nil {
+		m.o.Journal.Note("", "peer_report_failed", "error", err)
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		select {
+		case p.out <- data:
+		default:
+		}
+	}
+}
+
+// pause waits for a time; it reports false if the context ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/exchange/message.go
@@ -0,0 +1,34 @@
+package exchange
+
+import (
+	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/place"
+)
+
+// Methods of the protocol between daemons.
+const (
+	// methodHello names the caller and asks for the members that the other
+	// daemon knows.
+	methodHello = "hello"
+	// methodReport carries a Report.
+	methodReport = "report"
+)
+
+// Member is one daemon.
+type Member struct {
+	Name    string `json:"n"`
+	Zone    string `json:"z"`
+	Address string `json:"a"`
+	// Incarnation is new at every start.
+	Incarnation string `json:"i"`
+}
+
+// Report is what one daemon tells the others.
+type Report struct {
+	From string `json:"f"`
+	// Incarnation tells reports of two starts of a daemon apart.
+	Incarnation string                   `json:"i"`
+	Place       place.Report             `json:"p"`
+	Charges     *wigeonladder.Charges    `json:"c,omitempty"`
+	Suspects    []wigeonladder.Suspicion `json:"s,omitempty"`
+}
--- /dev/null
+++ b/place/job.go
@@ -0,0 +1,71 @@
+package place
+
+import (
+	"time"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// Job is a call that needs a backend server.
+type Job struct {
+	ID        string
+	Service   string
+	Workspace string
+	Prompt    wigeonladder.Prompt
+	// Arrived is when the call came, Target the time after which its answer
+	// loses worth, Deadline when it has none.
+	Arrived  time.Time
+	Target   time.Duration
+	Deadline time.Time
+	// Avoid holds the servers that failed the call before.
+	Avoid map[string]bool
+
+	chain chain
+	// ready gets the lease of a job that waited.
+	ready chan *Lease
+}
+
+// late reports whether the answer can no longer come in time if the server
+// needs that long.
+func (j *Job) late(now time.Time, need time.Duration) bool {
+	return j.Target > 0 && now.Add(need).Sub(j.Arrived) > j.Target
+}
+
+// Lease lends room on a backend server to one call. It must be ended.
+type Lease struct {
+	pool *Pool
+	job  *Job
+	// Instance is where the call goes.
+	Instance wigeonladder.Instance
+	// Missing is the number of prompt tokens that the server is expected to
+	// read, Held the number that it is believed to hold.
+	Missing, Held int
+	// Expected is the expected time to the first token.
+	Expected time.Duration
+	// MaxConns bounds this daemon's connections to the server; 0 for no bound.
+	server *server
+	load   load
+	sent   time.Time
+	first  bool
+	ended  bool
+	// silent is true once the lack of a first token was counted as a failure.
+	silent bool
+}
+
+// Result says how a lease ended.
+type Result int
+
+// The results.
+const (
+	// Done is a complete answer.
+	Done Result = iota
+	// Failed is a failure of the server.
+	Failed
+	// Unreachable means that no connection could be had.
+	Unreachable
+	// Declined means that the server refused the call without running it.
+	Declined
+	// Left means that the caller went or its time was over; it says nothing of
+	// the server.
+	Left
+)
--- /dev/null
+++ b/place/pool.go
@@ -0,0 +1,239 @@
+package place
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/route"
+)
+
+// Options are what a Pool needs.
+type Options struct {
+	// Zone is the zone of this daemon.
+	Zone string
+	// Shares orders the workspaces whose calls wait.
+	Shares wigeonladder.Shares
+	// Peers returns the number of daemons that are alive, this one included.
+	Peers func() int
+}
+
+// Pool places calls on backend servers.
+type Pool struct {
+	o Options
+
+	mu       sync.Mutex
+	services map[string]*group
+	// sent are the prompt parts that were sent since the last report.
+	sent []Sent
+}
+
+// group is one service.
+type group struct {
+	name    string
+	engine  *route.Engine
+	servers map[string]*server
+	queues  map[string][]*Job
+	waiting int
+	// tokens is the number of prompt tokens that wait.
+	tokens int
+}
+
+// NewPool returns a pool without servers. It places waiting jobs until the
+// context ends.
+func NewPool(ctx context.Context, o Options) *Pool {
+	if o.Peers == nil {
+		o.Peers = func() int { return 1 }
+	}
+	p := &Pool{o: o, services: map[string]*group{}}
+	go func() {
+		t := time.NewTicker(sweepPeriod)
+		defer t.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+				p.sweep()
+			}
+		}
+	}()
+	return p
+}
+
+// sweepPeriod is how often waiting jobs are looked at without an event.
+const sweepPeriod = 25 * time.Millisecond
+
+// group returns a service and creates it at need.
+func (p *Pool) group(name string) *group {
+	g := p.services[name]
+	if g == nil {
+		g = &group{name: name, servers: map[string]*server{}, queues: map[string][]*Job{}}
+		p.services[name] = g
+	}
+	return g
+}
+
+// Put adds a backend server or changes its entry. A new start of a server begins
+// with nothing known of it.
+func (p *Pool) Put(i wigeonladder.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, g := range p.services {
+		if name != i.Service {
+			delete(g.servers, i.ID)
+		}
+	}
+	g := p.group(i.Service)
+	if s := g.servers[i.ID]; s != nil && s.instance.Same(i) {
+		s.instance = i
+	} else {
+		g.servers[i.ID] = newServer(i, g.engine)
+	}
+	p.drain(g)
+}
+
+// Remove removes a backend server that left or is gone.
+func (p *Pool) Remove(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, g := range p.services {
+		delete(g.servers, id)
+	}
+}
+
+// Describe takes over the services of a new configuration.
+func (p *Pool) Describe(services []route.Service) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, v := range services {
+		g := p.group(v.Name)
+		g.engine = v.Engine
+		for _, s := range g.servers {
+			s.setEngine(v.Engine)
+		}
+	}
+}
+
+// Allowed reports whether an instance may still get a call. It is asked again
+// at the last step before a call is sent.
+func (p *Pool) Allowed(i wigeonladder.Instance) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.services[i.Service]
+	if g == nil {
+		return false
+	}
+	s := g.servers[i.ID]
+	return s != nil && s.instance.Same(i) && !s.instance.Leaving
+}
+
+// Acquire waits until a call may be sent. The error means that it may not, and
+// that it has not run; it tells when to come back.
+func (p *Pool) Acquire(ctx context.Context, j *Job) (*Lease, *wigeonladder.Error) {
+	j.chain = newChain(j.Prompt)
+	p.mu.Lock()
+	g := p.group(j.Service)
+	now := time.Now()
+	if g.waiting == 0 {
+		if l := p.place(g, j, now); l != nil {
+			p.mu.Unlock()
+			return l, nil
+		}
+	}
+	if err := p.refusal(g, j, now); err != nil {
+		p.mu.Unlock()
+		return nil, err
+	}
+	j.ready = make(chan *Lease, 1)
+	p.enqueue(g, j)
+	p.mu.Unlock()
+	return p.await(ctx, g, j)
+}
+
+// await waits for the turn of a job.
+func (p *Pool) await(ctx context.Context, g *group, j *Job) (*Lease, *wigeonladder.Error) {
+	t := time.NewTimer(time.Until(patience(j)))
+	defer t.Stop()
+	var gone bool
+	select {
+	case l := <-j.ready:
+		return l, nil
+	case <-t.C:
+	case <-ctx.Done():
+		gone = true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case l := <-j.ready:
+		if !gone {
+			return l, nil
+		}
+		p.end(l, Left)
+	default:
+		p.dequeue(g, j)
+	}
+	if gone {
+		return nil, wigeonladder.Errorf(wigeonladder.CodeCallerGone, j.ID, "the caller went while the call waited")
+	}
+	return nil, wigeonladder.Errorf(wigeonladder.CodeOverload, j.Service, "no room after %v; %d calls wait", time.Since(j.Arrived).Round(time.Millisecond), g.waiting).
+		WithWait(p.comeBack(g))
+}
+
+// Begin marks the lease as sent.
+func (l *Lease) Begin() {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	l.sent = time.Now()
+}
+
+// First tells that the first token arrived: the prompt has been read.
+func (l *Lease) First() {
+	p := l.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.first || l.ended {
+		return
+	}
+	l.first = true
+	s := l.server
+	s.own.unread -= l.load.unread
+	l.load.unread = 0
+	s.learn(l.Expected, time.Since(l.sent))
+	s.reached()
+	p.drain(p.group(l.job.Service))
+}
+
+// End gives the room back.
+func (l *Lease) End(r Result) {
+	p := l.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.end(l, r)
+	p.drain(p.group(l.job.Service))
+}
+
+// end implements End with the lock held.
+func (p *Pool) end(l *Lease, r Result) {
+	if l.ended {
+		return
+	}
+	l.ended = true
+	s := l.server
+	delete(s.leases, l)
+	s.own = load{s.own.running - 1, s.own.unread - l.load.unread, s.own.memory - l.load.memory}
+	now := time.Now()
+	switch r {
+	case Done:
+		s.record(false, now)
+		s.reached()
+	case Failed, Declined:
+		s.record(true, now)
+	case Unreachable:
+		s.record(true, now)
+		s.unreachable(now)
+	case Left:
+	}
+}
--- /dev/null
+++ b/place/report.go
@@ -0,0 +1,81 @@
+package place
+
+import "time"
+
+// Sent tells that a shared prompt part was sent to a server.
+type Sent struct {
+	Server string `json:"s"`
+	Part   uint64 `json:"p"`
+	Tokens int    `json:"n"`
+}
+
+// ServerLoad is the load that one daemon puts on one server.
+type ServerLoad struct {
+	Server  string `json:"s"`
+	Running int    `json:"r"`
+	Unread  int    `json:"u,omitempty"`
+	Memory  int    `json:"m,omitempty"`
+}
+
+// Report is what a daemon tells the others of its placements.
+type Report struct {
+	Loads []ServerLoad `json:"l,omitempty"`
+	Sent  []Sent       `json:"p,omitempty"`
+}
+
+// maxSent bounds the parts kept for one report.
+const maxSent = 1000
+
+// report notes the shared parts of a job for the next report.
+func (p *Pool) report(s *server, j *Job) {
+	for i := range j.chain.shared() {
+		if len(p.sent) < maxSent {
+			p.sent = append(p.sent, Sent{s.instance.ID, j.chain.keys[i], j.chain.tokens[i]})
+		}
+	}
+}
+
+// Export returns the loads that this daemon puts on servers, and the parts that
+// it sent since the last call.
+func (p *Pool) Export() Report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := Report{Sent: p.sent}
+	p.sent = nil
+	for _, g := range p.services {
+		for id, s := range g.servers {
+			if s.own.running > 0 {
+				r.Loads = append(r.Loads, ServerLoad{id, s.own.running, s.own.unread, s.own.memory})
+			}
+		}
+	}
+	return r
+}
+
+// Import takes over the report of another daemon. A server that it does not name
+// has no load of that daemon.
+func (p *Pool) Import(from string, r Report) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	loads := make(map[string]ServerLoad, len(r.Loads))
+	for _, l := range r.Loads {
+		loads[l.Server] = l
+	}
+	for _, g := range p.services {
+		for id, s := range g.servers {
+			l, ok := loads[id]
+			if !ok {
+				delete(s.remote, from)
+				continue
+			}
+			s.remote[from] = remoteLoad{load{max(l.Running, 0), max(l.Unread, 0), max(l.Memory, 0)}, now}
+		}
+		for _, x := range r.Sent {
+			if s := g.servers[x.Server]; s != nil && s.cache != nil {
+				s.cache.use(x.Part, max(x.Tokens, 0))
+			}
+		}
+		p.drain(g)
+	}
+}
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,128 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// Table is the index of one Document. It is immutable.
+type Table struct {
+	doc        Document
+	hosts      map[string][]Route
+	services   map[string]Service
+	workspaces map[string]Workspace
+}
+
+// NewTable returns the index of a document.
+func NewTable(d Document) *Table {
+	t := &Table{
+		doc:        d,
+		hosts:      map[string][]Route{},
+		services:   map[string]Service{},
+		workspaces: map[string]Workspace{},
+	}
+	for _, r := range d.Routes {
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, rs := range t.hosts {
+		slices.SortStableFunc(rs, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for _, s := range d.Services {
+		t.services[s.Name] = s
+	}
+	for _, w := range d.Workspaces {
+		for _, k := range w.Keys {
+			t.workspaces[k] = w
+		}
+	}
+	return t
+}
+
+// Version returns the version of the document.
+func (t *Table) Version() int64 { return t.doc.Version }
+
+// Limits returns the limits of the document.
+func (t *Table) Limits() Limits { return t.doc.Limits }
+
+// Service returns the service with a name.
+func (t *Table) Service(name string) (Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Match is what a Table says of a call.
+type Match struct {
+	Route     Route
+	Service   Service
+	Workspace string
+	Version   int64
+}
+
+// Match returns the route, the service and the workspace of a call. The error
+// has CodeNoService, CodeNoCredential or CodeBadCredential.
+func (t *Table) Match(c *wigeonladder.Call) (Match, *wigeonladder.Error) {
+	r, ok := t.route(c.Host, c.Path)
+	if !ok {
+		return Match{}, wigeonladder.Errorf(wigeonladder.CodeNoService, "", "no route for host %q and path %q in version %d", c.Host, c.Path, t.doc.Version)
+	}
+	m := Match{Route: r, Version: t.doc.Version}
+	if len(t.doc.Workspaces) > 0 && !r.Public {
+		w, ok := t.workspaces[c.Key]
+		if c.Key == "" {
+			return m, wigeonladder.Errorf(wigeonladder.CodeNoCredential, "", "no API key")
+		}
+		if !ok {
+			return m, wigeonladder.Errorf(wigeonladder.CodeUnknownKey, "", "the API key belongs to no workspace in version %d", t.doc.Version)
+		}
+		m.Workspace = w.Name
+	}
+	name := r.pick(c.ID)
+	m.Service, ok = t.services[name]
+	if !ok {
+		m.Service = Service{Name: name}
+	}
+	return m, nil
+}
+
+// route returns the route with the longest prefix of the path.
+func (t *Table) route(host, path string) (Route, bool) {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.Contains(host[i:], "]") {
+		host = host[:i]
+	}
+	path, _, _ = strings.Cut(path, "?")
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// pick returns the service for a call. The call's id decides, so that the choice
+// does not change while the call runs.
+func (r Route) pick(id string) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += max(t.Weight, 0)
+	}
+	if total == 0 {
+		if len(r.Targets) == 0 {
+			return ""
+		}
+		return r.Targets[0].Service
+	}
+	n := int(xxhash.Sum64String(id) % uint64(total))
+	for _, t := range r.Targets {
+		n -= max(t.Weight, 0)
+		if n < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[0].Service
+}
--- /dev/null
+++ b/setting/edge.go
@@ -0,0 +1,72 @@
+package setting
+
+import "time"
+
+// Edge are the settings of an edge daemon, which serves callers in front of
+// services that a platform lists in its store.
+type Edge struct {
+	// Name is the name of the VM, Zone its availability zone.
+	Name string `json:"name"`
+	Zone string `json:"zone"`
+	// Front, Ready, Peer and Metrics are the IP addresses and ports on which the
+	// daemon listens for callers, for questions for readiness, for other daemons
+	// and for operators.
+	Front   string `json:"front"`
+	Ready   string `json:"ready"`
+	Peer    string `json:"peer"`
+	Metrics string `json:"metrics,omitempty"`
+	// Store is the IP address and port of the platform's store.
+	Store string `json:"store"`
+	// Seeds are peer addresses of daemons to try first.
+	Seeds []string `json:"seeds,omitempty"`
+	// Memory is what the process may use, in megabytes.
+	Memory int `json:"memory"`
+	// Grace is the time between the request to stop and the end of the process.
+	Grace Duration `json:"grace"`
+	// KeyTrust is how long an API key is accepted after it was withdrawn, at the
+	// most; 0 for no bound.
+	KeyTrust Duration `json:"keyTrust"`
+	// Retry bounds second sendings over all daemons.
+	Retry Retry `json:"retry"`
+}
+
+// Retry bounds second sendings of calls to one service over all daemons: in each
+// period a part of its calls, and a number beyond these.
+type Retry struct {
+	Ratio  float64  `json:"ratio"`
+	Slack  float64  `json:"slack"`
+	Period Duration `json:"period"`
+}
+
+// DefaultEdge returns the settings that hold where a file does not say otherwise.
+// The retry bounds are a tenth of the calls and ten more in ten seconds.
+func DefaultEdge() Edge {
+	return Edge{
+		Memory: 256,
+		Grace:  Duration(8 * time.Second),
+		Retry:  Retry{Ratio: 0.1, Slack: 10, Period: Duration(10 * time.Second)},
+	}
+}
+
+// ParseEdge reads the settings file of an edge daemon over the defaults. The
+// path only names the file in errors.
+func ParseEdge(path string, data []byte) (Edge, error) {
+	c := newCheck(path)
+	s := DefaultEdge()
+	if c.decode("edge.json", data, &s) {
+		listens := names{}
+		c.unique(listens, s.Front, "front", "address")
+		c.unique(listens, s.Ready, "ready", "address")
+		c.unique(listens, s.Peer, "peer", "address")
+		if s.Metrics != "" {
+			c.unique(listens, s.Metrics, "metrics", "address")
+		}
+		if s.Retry.Period <= 0 {
+			c.refer("retry.period", "must be longer than 0s")
+		}
+	}
+	if err := c.errs.ErrorOrNil(); err != nil {
+		return Edge{}, err
+	}
+	return s, nil
+}
