--- a/setting/edge.go
+++ b/setting/edge.go
@@ -31,10 +31,11 @@
 }
 
 // Retry bounds second sendings of calls to one service over all daemons: in each
-// period a part of its calls, and a number beyond these.
+// period a part of its calls, and a number beyond these. Both are decimal
+// fractions in quotes, since the numbers in settings are whole.
 type Retry struct {
-	Ratio  float64  `json:"ratio"`
-	Slack  float64  `json:"slack"`
+	Ratio  float64  `json:"ratio,string"`
+	Slack  float64  `json:"slack,string"`
 	Period Duration `json:"period"`
 }
 
