--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -94,6 +94,7 @@
 	mesh     *exchange.Mesh
 	relay    *backend.Relay
 	counters *fair.Counters
+	window   *fair.Window
 	suspects *retry.Suspects
 	front    *front.Server
 	seeds    atomic.Pointer[[]string]
@@ -130,8 +131,9 @@
 	}
 	d.book = route.NewBook(uptime, trust)
 	d.counters = fair.NewCounters(fair.Options{Home: incarnation})
+	d.window = fair.NewWindow()
 	d.relay = backend.NewRelay(d.platform.Servers)
-	d.pool = place.NewPool(ctx, place.Options{Zone: s.Zone, Shares: d.counters, Peers: d.daemons})
+	d.pool = place.NewPool(ctx, place.Options{Zone: s.Zone, Shares: d.counters, Window: d.window, Peers: d.daemons})
 	d.roster = inventory.NewRoster(d.pool, d.platform.ParseServer, d.journal)
 	peers, err := listen(ctx, s.Peer)
 	if err != nil {
@@ -188,6 +190,7 @@
 		return
 	}
 	d.pool.Describe(doc.Services)
+	d.window.SetCapacity(doc.Limits.TokensPerSecond)
 	d.journal.Note("", "config_accepted", "version", doc.Version, "revision", i.Revision,
 		"routes", len(doc.Routes), "workspaces", len(doc.Workspaces))
 }
@@ -230,6 +233,7 @@
 		if c := d.counters.Export(); len(c.Rows) > 0 {
 			r.Charges = &c
 		}
+		r.Totals = d.window.Export()
 		r.Suspects = d.suspects.Export()
 	}
 	return r
@@ -241,6 +245,7 @@
 	if r.Charges != nil {
 		d.counters.Import(*r.Charges)
 	}
+	d.window.Import(r.Incarnation, r.Totals)
 	if len(r.Suspects) > 0 {
 		d.suspects.Import(r.Suspects)
 	}
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/fair"
 	"github.com/wigeonladder/wigeonladder/place"
 )
 
@@ -27,8 +28,10 @@
 type Report struct {
 	From string `json:"f"`
 	// Incarnation tells reports of two starts of a daemon apart.
-	Incarnation string                   `json:"i"`
-	Place       place.Report             `json:"p"`
-	Charges     *wigeonladder.Charges    `json:"c,omitempty"`
-	Suspects    []wigeonladder.Suspicion `json:"s,omitempty"`
+	Incarnation string                `json:"i"`
+	Place       place.Report          `json:"p"`
+	Charges     *wigeonladder.Charges `json:"c,omitempty"`
+	// Totals are the totals of workspaces that changed.
+	Totals   []fair.Total             `json:"t,omitempty"`
+	Suspects []wigeonladder.Suspicion `json:"s,omitempty"`
 }
--- /dev/null
+++ b/fair/window.go
@@ -0,0 +1,256 @@
+package fair
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// windowStep and windowSteps make up the time over which demand and service
+	// are compared.
+	windowStep  = 250 * time.Millisecond
+	windowSteps = 16
+	// restrainedFor is how long a workspace counts as restrained after one of
+	// its calls was refused or came late.
+	restrainedFor = 1500 * time.Millisecond
+	// lead is how much more than the least served restrained workspace another
+	// one may get beyond its share.
+	lead = 1.3
+	// maxWindowRows bounds the workspaces of one window.
+	maxWindowRows = 4096
+)
+
+// Total is what one daemon saw of one workspace since its start, in cost units.
+type Total struct {
+	Workspace string `json:"w"`
+	Asked     int64  `json:"a"`
+	Got       int64  `json:"g"`
+	// Restrained is true if a call was refused or came late just now.
+	Restrained bool `json:"r,omitempty"`
+}
+
+// Standing says how a workspace stands towards its share.
+type Standing int
+
+// The standings.
+const (
+	// Within means that the workspace got less than its share.
+	Within Standing = iota
+	// Beyond means that it got its share and may have what nobody else needs.
+	Beyond
+	// Ahead means that it got more than a workspace that is held back.
+	Ahead
+)
+
+// Window compares what the workspaces asked for and what they got over the whole
+// fleet in the last seconds. The max-min share is the level up to which every
+// workspace gets what it asks if the levels sum up to the capacity.
+type Window struct {
+	start time.Time
+
+	mu       sync.Mutex
+	rows     map[string]*windowRow
+	capacity float64
+	level    float64
+	levelAt  time.Time
+	least    float64
+	hasLeast bool
+	dirty    map[string]bool
+}
+
+// windowRow is one workspace.
+type windowRow struct {
+	asked, got ring
+	// own are the totals of this daemon, peers the last totals of the others.
+	own        Total
+	peers      map[string]Total
+	restrained time.Time
+	ownHeld    time.Time
+}
+
+// ring is a sum over the window.
+type ring struct {
+	step  int64
+	parts [windowSteps]float64
+}
+
+// NewWindow returns a window in which nothing has happened.
+func NewWindow() *Window {
+	return &Window{start: time.Now(), rows: map[string]*windowRow{}, dirty: map[string]bool{}}
+}
+
+// SetCapacity sets the service of the whole fleet in cost units per second; 0 if
+// it is not known.
+func (w *Window) SetCapacity(perSecond float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.capacity, w.levelAt = perSecond, time.Time{}
+}
+
+// Asked counts a call.
+func (w *Window) Asked(workspace string, cost int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if r := w.row(workspace); r != nil {
+		r.own.Asked += cost
+		r.asked.add(w.step(now), float64(cost))
+		w.dirty[workspace] = true
+	}
+}
+
+// Got counts a call that was placed.
+func (w *Window) Got(workspace string, cost int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if r := w.row(workspace); r != nil {
+		r.own.Got += cost
+		r.got.add(w.step(now), float64(cost))
+		w.dirty[workspace] = true
+	}
+}
+
+// Restrained notes that a call of the workspace was refused or came late.
+func (w *Window) Restrained(workspace string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r := w.row(workspace); r != nil {
+		r.restrained = time.Now()
+		r.ownHeld = r.restrained
+		w.dirty[workspace] = true
+	}
+}
+
+// Standing returns how a workspace stands before a call of the given cost.
+func (w *Window) Standing(workspace string) Standing {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.refresh(now)
+	r := w.rows[workspace]
+	if r == nil || w.level <= 0 {
+		return Within
+	}
+	got := r.got.sum(w.step(now))
+	switch {
+	case got <= w.level:
+		return Within
+	case w.hasLeast && got > lead*max(w.least, w.level):
+		return Ahead
+	}
+	return Beyond
+}
+
+// row returns the row of a workspace; nil if there are too many.
+func (w *Window) row(workspace string) *windowRow {
+	r := w.rows[workspace]
+	if r == nil && len(w.rows) < maxWindowRows {
+		r = &windowRow{peers: map[string]Total{}, own: Total{Workspace: workspace}}
+		w.rows[workspace] = r
+	}
+	return r
+}
+
+// refresh computes the level anew once in a step.
+func (w *Window) refresh(now time.Time) {
+	if now.Sub(w.levelAt) < windowStep/4 {
+		return
+	}
+	w.levelAt = now
+	demands := make([]float64, 0, len(w.rows))
+	w.hasLeast = false
+	for _, r := range w.rows {
+		if d := r.asked.sum(w.step(now)); d > 0 {
+			demands = append(demands, d)
+		}
+		if now.Sub(r.restrained) < restrainedFor {
+			if g := r.got.sum(w.step(now)); !w.hasLeast || g < w.least {
+				w.least, w.hasLeast = g, true
+			}
+		}
+	}
+	w.level = level(demands, w.capacity*(windowStep*windowSteps).Seconds())
+}
+
+// level returns the max-min level of demands for a capacity; 0 if the capacity is
+// not known.
+func level(demands []float64, capacity float64) float64 {
+	if capacity <= 0 {
+		return 0
+	}
+	slices.SortFunc(demands, cmp.Compare[float64])
+	left := capacity
+	for i, d := range demands {
+		even := left / float64(len(demands)-i)
+		if d > even {
+			return even
+		}
+		left -= d
+	}
+	return capacity
+}
+
+// Export returns the totals that changed since the last call.
+func (w *Window) Export() []Total {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	l := make([]Total, 0, len(w.dirty))
+	for name := range w.dirty {
+		t := w.rows[name].own
+		t.Restrained = now.Sub(w.rows[name].ownHeld) < restrainedFor
+		l = append(l, t)
+	}
+	clear(w.dirty)
+	return l
+}
+
+// Import takes over the totals of another daemon. The first totals of a daemon
+// say nothing of the last seconds; neither do those that count from a new start.
+func (w *Window) Import(from string, l []Total) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	for _, t := range l {
+		r := w.row(t.Workspace)
+		if r == nil {
+			continue
+		}
+		if last, known := r.peers[from]; known && t.Asked >= last.Asked && t.Got >= last.Got {
+			r.asked.add(w.step(now), float64(t.Asked-last.Asked))
+			r.got.add(w.step(now), float64(t.Got-last.Got))
+		}
+		r.peers[from] = t
+		if t.Restrained {
+			r.restrained = now
+		}
+	}
+}
+
+// step returns the number of the step at a time.
+func (w *Window) step(now time.Time) int64 { return int64(now.Sub(w.start) / windowStep) }
+
+// at clears the parts of steps that are over and returns the current part.
+func (g *ring) at(step int64) *float64 {
+	for n := min(step-g.step, windowSteps); n > 0; n-- {
+		g.parts[(step-n+1)%windowSteps] = 0
+	}
+	g.step = max(step, g.step)
+	return &g.parts[g.step%windowSteps]
+}
+
+// add adds to the current step.
+func (g *ring) add(step int64, v float64) { *g.at(step) += v }
+
+// sum returns the sum over the window.
+func (g *ring) sum(step int64) float64 {
+	g.at(step)
+	s := 0.0
+	for _, p := range g.parts {
+		s += p
+	}
+	return s
+}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -168,4 +168,3 @@
 		r.f.o.Meter.Ended(r.match.Service.Name, code, first, whole)
 	}
 }
-
--- a/place/cache.go
+++ b/place/cache.go
@@ -32,6 +32,15 @@
 // part belongs to the request itself.
 func (c chain) shared() int { return max(len(c.keys)-1, 0) }
 
+// sharedTokens is the length of these parts.
+func (c chain) sharedTokens() int {
+	n := 0
+	for _, t := range c.tokens[:c.shared()] {
+		n += t
+	}
+	return n
+}
+
 // subject is the key of the last shared part; 0 for none.
 func (c chain) subject() uint64 {
 	if n := c.shared(); n > 0 {
--- a/place/choose.go
+++ b/place/choose.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -9,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/fair"
 )
 
 const (
@@ -16,9 +16,19 @@
 	// beyond waits here, where the fair choice is made; the engine itself would
 	// serve it in order of arrival.
 	holdTime = 300 * time.Millisecond
-	// missWeight is how much more a token that has to be read counts than one
-	// that waits before it: reading it also displaces other parts.
-	missWeight = 2.0
+	// spareTime and aheadTime are the same for workspaces that got their share,
+	// and for those that got more than others that are held back.
+	spareTime = 60 * time.Millisecond
+	aheadTime = 10 * time.Millisecond
+	// spareWaitPart is the part of the target time for which the calls of such
+	// workspaces wait, as a divisor.
+	spareWaitPart = 8
+	// displaceWeight is how much a shared token that has to be read counts
+	// beyond its reading: a second copy displaces other parts.
+	displaceWeight = 2.0
+	// lookAhead is the number of calls of one workspace that are looked at for
+	// one that can be placed.
+	lookAhead = 8
 	// homeTime is the preference for the home of a subject that no server is
 	// known to hold, so that all daemons send it to the same one.
 	homeTime = 60 * time.Millisecond
@@ -43,49 +53,26 @@
 type option struct {
 	server  *server
 	missing int
-	// first is the expected time to the first token, rank what orders options.
-	first, rank time.Duration
-	room        bool
+	// wait is the expected time until the server has read what it was sent,
+	// first that to the first token; rank is what orders options.
+	wait, first, rank time.Duration
 }
 
-// place leases room for a job on the best server, or returns nil if none has
-// room.
-func (p *Pool) place(g *group, j *Job, now time.Time) *Lease {
-	best := p.choose(g, j, now)
-	if best == nil || !best.room {
-		return nil
-	}
-	return p.lease(g, j, best)
-}
-
-// choose returns the server with the lowest rank among those with room; without
-// any, the one with the lowest rank of all; nil without a server.
+// choose returns the server with the lowest rank; nil if none takes calls.
 func (p *Pool) choose(g *group, j *Job, now time.Time) *option {
 	var best *option
 	home := p.home(g, j, now)
-	for _, s := range g.sorted() {
+	for _, s := range g.order {
 		if !s.open(now) || j.Avoid[s.instance.ID] {
 			continue
 		}
-		o := p.rate(s, j, home, now)
-		if best == nil || o.room && !best.room || o.room == best.room && o.rank < best.rank {
+		if o := p.rate(s, j, home, now); best == nil || o.rank < best.rank {
 			best = &o
 		}
 	}
 	return best
 }
 
-// sorted returns the servers in a fixed order, so that equal ranks are decided
-// the same way every time.
-func (g *group) sorted() []*server {
-	l := make([]*server, 0, len(g.servers))
-	for _, s := range g.servers {
-		l = append(l, s)
-	}
-	slices.SortFunc(l, func(a, b *server) int { return cmp.Compare(a.instance.ID, b.instance.ID) })
-	return l
-}
-
 // home returns the server on which a subject is expected if no server is known
 // to hold it: the one with the highest hash of subject and server. It is nil for
 // a job without a subject, or with a holder.
@@ -97,7 +84,7 @@
 	var home *server
 	var top uint64
 	key := strconv.FormatUint(subject, 16)
-	for _, s := range g.servers {
+	for _, s := range g.order {
 		if !s.open(now) || j.Avoid[s.instance.ID] {
 			continue
 		}
@@ -113,26 +100,32 @@
 
 // rate returns the option that a server is for a job.
 func (p *Pool) rate(s *server, j *Job, home *server, now time.Time) option {
-	o := option{server: s, missing: s.missing(j)}
-	wait := s.wait(now)
-	read := time.Duration(readTime(o.missing) * s.pace)
-	o.first = wait + read
+	missing, shared := s.missing(j)
+	o := option{server: s, missing: missing, wait: s.wait(now)}
+	queued := s.queued
+	if j.at == s {
+		queued -= j.queued
+	}
+	read := time.Duration(readTime(missing) * s.pace)
+	o.first = o.wait + read
 	if s.engine != nil {
 		o.first += firstTokenTime
 	}
-	o.rank = wait + time.Duration(float64(read)*missWeight) + time.Duration(s.faults(now)*float64(faultTime))
+	o.rank = o.wait + read + time.Duration((readTime(queued)+displaceWeight*readTime(shared))*s.pace) +
+		time.Duration(s.faults(now)*float64(faultTime))
 	if home != nil && home != s {
 		o.rank += homeTime
 	}
 	if s.instance.Zone != p.o.Zone {
 		o.rank += zoneTime
 	}
-	o.room = s.room(j, wait, now)
 	return o
 }
 
-// room reports whether a server may be sent a job now.
-func (s *server) room(j *Job, wait time.Duration, now time.Time) bool {
+// hasRoom reports whether a server may be sent a job now. A workspace that got
+// its share gets only what the server has to spare.
+func (p *Pool) hasRoom(g *group, o *option, j *Job, now time.Time) bool {
+	s := o.server
 	l := s.total(now)
 	if s.engine == nil {
 		return l.running < s.slots()+spareCalls
@@ -140,19 +133,27 @@
 	if l.running == 0 {
 		return true
 	}
+	slots, hold := s.slots(), holdTime
+	switch p.standing(g, j) {
+	case fair.Beyond:
+		slots, hold = slots/2, spareTime
+	case fair.Ahead:
+		slots, hold = slots/4, aheadTime
+	case fair.Within:
+	}
 	need := j.Prompt.Tokens + j.Prompt.MaxOutput
-	return l.running < s.slots() && wait < holdTime &&
+	return l.running < slots && o.wait < hold &&
 		float64(l.memory+need) <= memoryShare*float64(s.engine.CacheTokens)
 }
 
 // lease takes room on a server for a job.
-func (p *Pool) lease(g *group, j *Job, o *option) *Lease {
+func (p *Pool) lease(g *group, j *Job, o *option, now time.Time) *Lease {
 	s := o.server
 	l := &Lease{
 		pool: p, job: j, server: s, Instance: s.instance,
 		Missing: o.missing, Held: j.Prompt.Tokens - o.missing, Expected: o.first,
 		load: load{1, o.missing, j.Prompt.Tokens + j.Prompt.MaxOutput},
-		sent: time.Now(),
+		sent: now,
 	}
 	s.own = s.own.add(l.load)
 	s.leases[l] = struct{}{}
@@ -163,15 +164,21 @@
 	if p.o.Shares != nil && j.Workspace != "" {
 		p.o.Shares.Charge(g.name, j.Workspace, j.Prompt.Cost())
 	}
+	if p.counts(g, j) {
+		p.o.Window.Got(j.Workspace, j.Prompt.Cost())
+	}
 	return l
 }
 
-// enqueue adds a job to the queue of its workspace.
-func (p *Pool) enqueue(g *group, j *Job) {
+// enqueue adds a job to the queue of its workspace. It waits for the server that
+// was best when it came.
+func (p *Pool) enqueue(g *group, j *Job, best *option) {
 	q := g.queues[j.Workspace]
 	g.queues[j.Workspace] = append(q, j)
 	g.waiting++
 	g.tokens += j.Prompt.Tokens
+	j.at, j.queued = best.server, best.missing
+	j.at.queued += j.queued
 	if len(q) == 0 && p.o.Shares != nil {
 		p.o.Shares.Backlog(g.name, j.Workspace, true)
 	}
@@ -187,6 +194,8 @@
 	q = slices.Delete(q, i, i+1)
 	g.waiting--
 	g.tokens -= j.Prompt.Tokens
+	j.at.queued -= j.queued
+	j.at, j.queued = nil, 0
 	if len(q) > 0 {
 		g.queues[j.Workspace] = q
 		return
@@ -197,31 +206,28 @@
 	}
 }
 
-// drain places waiting jobs while there is room: first those whose answer can
-// still come in time, in the order of received service, then the others.
+// drain places waiting jobs while there is room, in the order of received
+// service: first those of workspaces that got less than their share.
 func (p *Pool) drain(g *group) {
 	now := time.Now()
-	for g.waiting > 0 {
-		if !p.placeNext(g, now, true) && !p.placeNext(g, now, false) {
-			return
+	for most := fair.Within; most <= fair.Ahead; most++ {
+		for g.waiting > 0 && p.placeNext(g, now, most) {
 		}
 	}
 }
 
-// placeNext places one waiting job and reports whether it did.
-func (p *Pool) placeNext(g *group, now time.Time, inTime bool) bool {
+// placeNext places one waiting job of a workspace with at most the given standing
+// and reports whether it did.
+func (p *Pool) placeNext(g *group, now time.Time, most fair.Standing) bool {
 	var chosen *Job
 	var at *option
 	accept := func(workspace string) bool {
-		for _, j := range g.queues[workspace] {
-			o := p.choose(g, j, now)
-			if o == nil || !o.room || inTime && j.late(now, o.first) {
-				continue
-			}
-			chosen, at = j, o
-			return true
+		q := g.queues[workspace]
+		if len(q) == 0 || p.standing(g, q[0]) > most {
+			return false
 		}
-		return false
+		chosen, at = p.next(g, q, now)
+		return chosen != nil
 	}
 	if p.o.Shares == nil {
 		for w := range g.queues {
@@ -236,23 +242,60 @@
 		return false
 	}
 	p.dequeue(g, chosen)
-	chosen.ready <- p.lease(g, chosen, at)
+	if chosen.late(now, at.first) {
+		p.restrain(g, chosen)
+	}
+	chosen.ready <- p.lease(g, chosen, at, now)
 	return true
 }
 
+// next returns the job of a queue that is placed next, and where: the first one
+// whose answer can still come in time, otherwise the first one with room.
+func (p *Pool) next(g *group, q []*Job, now time.Time) (*Job, *option) {
+	var late *Job
+	var lateAt *option
+	for _, j := range q[:min(len(q), lookAhead)] {
+		o := p.spot(g, j, now)
+		if o == nil || !p.hasRoom(g, o, j, now) {
+			continue
+		}
+		if !j.late(now, o.first) {
+			return j, o
+		}
+		if late == nil {
+			late, lateAt = j, o
+		}
+	}
+	return late, lateAt
+}
+
+// spot returns where a waiting job may go: to the server for which it waits, or,
+// once it has waited for long or that server takes no calls, to the best one.
+func (p *Pool) spot(g *group, j *Job, now time.Time) *option {
+	if j.at.open(now) && g.servers[j.at.instance.ID] == j.at && now.Sub(j.Arrived) < j.Target/2 {
+		o := p.rate(j.at, j, nil, now)
+		return &o
+	}
+	return p.choose(g, j, now)
+}
+
 // refusal returns the error of a job that need not wait, nil if it may.
-func (p *Pool) refusal(g *group, j *Job, now time.Time) *wigeonladder.Error {
-	if p.choose(g, j, now) == nil {
+func (p *Pool) refusal(g *group, j *Job, best *option, now time.Time) *wigeonladder.Error {
+	if best == nil {
 		return wigeonladder.Errorf(wigeonladder.CodeNoServer, g.name, "none of %d backend servers takes calls", len(g.servers)).WithWait(backMin)
 	}
-	if g.waiting >= maxWaiting || !now.Before(patience(j)) {
+	if g.waiting >= maxWaiting || !now.Before(p.patience(g, j)) {
 		return wigeonladder.Errorf(wigeonladder.CodeOverload, g.name, "%d calls wait", g.waiting).WithWait(p.comeBack(g))
 	}
 	return nil
 }
 
-// patience is until when a job waits for room.
-func patience(j *Job) time.Time {
+// patience is until when a job waits for room. A workspace that got its share is
+// told soon that there is no more.
+func (p *Pool) patience(g *group, j *Job) time.Time {
+	if j.Target > 0 && p.standing(g, j) != fair.Within {
+		return j.Arrived.Add(j.Target / spareWaitPart)
+	}
 	return j.Arrived.Add(time.Duration(float64(j.Deadline.Sub(j.Arrived)) * waitShare))
 }
 
--- a/place/job.go
+++ b/place/job.go
@@ -23,6 +23,9 @@
 	chain chain
 	// ready gets the lease of a job that waited.
 	ready chan *Lease
+	// at is the server for which the job waits, queued what it adds there.
+	at     *server
+	queued int
 }
 
 // late reports whether the answer can no longer come in time if the server
@@ -42,12 +45,11 @@
 	Missing, Held int
 	// Expected is the expected time to the first token.
 	Expected time.Duration
-	// MaxConns bounds this daemon's connections to the server; 0 for no bound.
-	server *server
-	load   load
-	sent   time.Time
-	first  bool
-	ended  bool
+	server   *server
+	load     load
+	sent     time.Time
+	first    bool
+	ended    bool
 	// silent is true once the lack of a first token was counted as a failure.
 	silent bool
 }
--- a/place/pool.go
+++ b/place/pool.go
@@ -1,11 +1,15 @@
 package place
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/fair"
 	"github.com/wigeonladder/wigeonladder/route"
 )
 
@@ -15,6 +19,8 @@
 	Zone string
 	// Shares orders the workspaces whose calls wait.
 	Shares wigeonladder.Shares
+	// Window tells which workspaces got their share of the model services.
+	Window *fair.Window
 	// Peers returns the number of daemons that are alive, this one included.
 	Peers func() int
 }
@@ -34,6 +40,9 @@
 	name    string
 	engine  *route.Engine
 	servers map[string]*server
+	// order holds the servers by name, so that equal ranks are decided the same
+	// way every time.
+	order   []*server
 	queues  map[string][]*Job
 	waiting int
 	// tokens is the number of prompt tokens that wait.
@@ -83,6 +92,7 @@
 	for name, g := range p.services {
 		if name != i.Service {
 			delete(g.servers, i.ID)
+			g.sort()
 		}
 	}
 	g := p.group(i.Service)
@@ -91,6 +101,7 @@
 	} else {
 		g.servers[i.ID] = newServer(i, g.engine)
 	}
+	g.sort()
 	p.drain(g)
 }
 
@@ -100,9 +111,17 @@
 	defer p.mu.Unlock()
 	for _, g := range p.services {
 		delete(g.servers, id)
+		g.sort()
 	}
 }
 
+// sort brings the servers into their order.
+func (g *group) sort() {
+	g.order = slices.SortedFunc(maps.Values(g.servers), func(a, b *server) int {
+		return cmp.Compare(a.instance.ID, b.instance.ID)
+	})
+}
+
 // Describe takes over the services of a new configuration.
 func (p *Pool) Describe(services []route.Service) {
 	p.mu.Lock()
@@ -136,25 +155,50 @@
 	p.mu.Lock()
 	g := p.group(j.Service)
 	now := time.Now()
-	if g.waiting == 0 {
-		if l := p.place(g, j, now); l != nil {
-			p.mu.Unlock()
-			return l, nil
-		}
+	if p.counts(g, j) {
+		p.o.Window.Asked(j.Workspace, j.Prompt.Cost())
 	}
-	if err := p.refusal(g, j, now); err != nil {
+	best := p.choose(g, j, now)
+	if best != nil && best.server.queued == 0 && p.hasRoom(g, best, j, now) {
+		l := p.lease(g, j, best, now)
+		p.mu.Unlock()
+		return l, nil
+	}
+	if err := p.refusal(g, j, best, now); err != nil {
+		p.restrain(g, j)
 		p.mu.Unlock()
 		return nil, err
 	}
 	j.ready = make(chan *Lease, 1)
-	p.enqueue(g, j)
+	p.enqueue(g, j, best)
+	until := p.patience(g, j)
 	p.mu.Unlock()
-	return p.await(ctx, g, j)
+	return p.await(ctx, g, j, until)
+}
+
+// counts reports whether a job counts towards the share of its workspace.
+func (p *Pool) counts(g *group, j *Job) bool {
+	return p.o.Window != nil && g.engine != nil && j.Workspace != ""
+}
+
+// standing is how the workspace of a job stands towards its share.
+func (p *Pool) standing(g *group, j *Job) fair.Standing {
+	if !p.counts(g, j) {
+		return fair.Within
+	}
+	return p.o.Window.Standing(j.Workspace)
+}
+
+// restrain notes that a job was refused or comes late.
+func (p *Pool) restrain(g *group, j *Job) {
+	if p.counts(g, j) {
+		p.o.Window.Restrained(j.Workspace)
+	}
 }
 
 // await waits for the turn of a job.
-func (p *Pool) await(ctx context.Context, g *group, j *Job) (*Lease, *wigeonladder.Error) {
-	t := time.NewTimer(time.Until(patience(j)))
+func (p *Pool) await(ctx context.Context, g *group, j *Job, until time.Time) (*Lease, *wigeonladder.Error) {
+	t := time.NewTimer(time.Until(until))
 	defer t.Stop()
 	var gone bool
 	select {
@@ -178,6 +222,7 @@
 	if gone {
 		return nil, wigeonladder.Errorf(wigeonladder.CodeCallerGone, j.ID, "the caller went while the call waited")
 	}
+	p.restrain(g, j)
 	return nil, wigeonladder.Errorf(wigeonladder.CodeOverload, j.Service, "no room after %v; %d calls wait", time.Since(j.Arrived).Round(time.Millisecond), g.waiting).
 		WithWait(p.comeBack(g))
 }
--- a/place/server.go
+++ b/place/server.go
@@ -63,6 +63,8 @@
 	trial   bool
 	// leases are the calls of this daemon that run on it.
 	leases map[*Lease]struct{}
+	// queued is the number of prompt tokens of the jobs that wait here for it.
+	queued int
 }
 
 // load is what daemons have running on a server.
@@ -121,12 +123,14 @@
 	return max(n, 1)
 }
 
-// missing is the number of prompt tokens that the server has to read.
-func (s *server) missing(j *Job) int {
+// missing is the number of prompt tokens that the server has to read, and how
+// many of these other requests share.
+func (s *server) missing(j *Job) (all, shared int) {
 	if s.cache == nil {
-		return 0
+		return 0, 0
 	}
-	return max(j.Prompt.Tokens-s.cache.held(j.chain), 1)
+	held := s.cache.held(j.chain)
+	return max(j.Prompt.Tokens-held, 1), max(j.chain.sharedTokens()-held, 0)
 }
 
 // wait is the expected time until the server has read what it was sent before.
--- a/route/document.go
+++ b/route/document.go
@@ -87,7 +87,7 @@
 
 // Limits bound what callers may send, and what the services produce.
 type Limits struct {
-	MaxHeader, MaxBody        int
+	MaxHeader, MaxBody         int
 	HeaderTimeout, IdleTimeout time.Duration
 	// TokensPerSecond is what all model servers together produce.
 	TokensPerSecond float64
