--- a/fair/window.go
+++ b/fair/window.go
@@ -16,8 +16,11 @@
 	// its calls was refused or came late.
 	restrainedFor = 1500 * time.Millisecond
 	// lead is how much more than the least served restrained workspace another
-	// one may get beyond its share.
-	lead = 1.3
+	// one may get before it comes behind that one; with maxLead times as much it
+	// gets nothing. Without a bound, the workspace that calls most often would
+	// find nearly all of the room that is spare.
+	lead    = 1.25
+	maxLead = 1.6
 	// maxWindowRows bounds the workspaces of one window.
 	maxWindowRows = 4096
 )
@@ -29,6 +32,10 @@
 	Got       int64  `json:"g"`
 	// Restrained is true if a call was refused or came late just now.
 	Restrained bool `json:"r,omitempty"`
+	// RecentAsked and RecentGot are the parts of the last seconds, for a daemon
+	// that has just started.
+	RecentAsked int64 `json:"ra,omitempty"`
+	RecentGot   int64 `json:"rg,omitempty"`
 }
 
 // Standing says how a workspace stands towards its share.
@@ -42,8 +49,24 @@
 	Beyond
 	// Ahead means that it got more than a workspace that is held back.
 	Ahead
+	// Barred means that it got so much more that it gets nothing now.
+	Barred
 )
 
+// String returns the word for a standing.
+func (s Standing) String() string {
+	switch s {
+	case Beyond:
+		return "beyond"
+	case Ahead:
+		return "ahead of"
+	case Barred:
+		return "far ahead of"
+	case Within:
+	}
+	return "within"
+}
+
 // Window compares what the workspaces asked for and what they got over the whole
 // fleet in the last seconds. The max-min share is the level up to which every
 // workspace gets what it asks if the levels sum up to the capacity.
@@ -63,6 +86,8 @@
 // windowRow is one workspace.
 type windowRow struct {
 	asked, got ring
+	// ownAsked and ownGot are the parts of this daemon.
+	ownAsked, ownGot ring
 	// own are the totals of this daemon, peers the last totals of the others.
 	own        Total
 	peers      map[string]Total
@@ -97,6 +122,7 @@
 	if r := w.row(workspace); r != nil {
 		r.own.Asked += cost
 		r.asked.add(w.step(now), float64(cost))
+		r.ownAsked.add(w.step(now), float64(cost))
 		w.dirty[workspace] = true
 	}
 }
@@ -109,6 +135,7 @@
 	if r := w.row(workspace); r != nil {
 		r.own.Got += cost
 		r.got.add(w.step(now), float64(cost))
+		r.ownGot.add(w.step(now), float64(cost))
 		w.dirty[workspace] = true
 	}
 }
@@ -135,10 +162,13 @@
 		return Within
 	}
 	got := r.got.sum(w.step(now))
+	least := max(w.least, w.level)
 	switch {
 	case got <= w.level:
 		return Within
-	case w.hasLeast && got > lead*max(w.least, w.level):
+	case w.hasLeast && got > maxLead*least:
+		return Barred
+	case w.hasLeast && got > lead*least:
 		return Ahead
 	}
 	return Beyond
@@ -200,16 +230,18 @@
 	now := time.Now()
 	l := make([]Total, 0, len(w.dirty))
 	for name := range w.dirty {
-		t := w.rows[name].own
-		t.Restrained = now.Sub(w.rows[name].ownHeld) < restrainedFor
+		r := w.rows[name]
+		t := r.own
+		t.Restrained = now.Sub(r.ownHeld) < restrainedFor
+		t.RecentAsked, t.RecentGot = int64(r.ownAsked.sum(w.step(now))), int64(r.ownGot.sum(w.step(now)))
 		l = append(l, t)
 	}
 	clear(w.dirty)
 	return l
 }
 
-// Import takes over the totals of another daemon. The first totals of a daemon
-// say nothing of the last seconds; neither do those that count from a new start.
+// Import takes over the totals of another daemon, named by its incarnation. Of
+// one that was not heard before, the parts of the last seconds count.
 func (w *Window) Import(from string, l []Total) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -219,9 +251,12 @@
 		if r == nil {
 			continue
 		}
-		if last, known := r.peers[from]; known && t.Asked >= last.Asked && t.Got >= last.Got {
-			r.asked.add(w.step(now), float64(t.Asked-last.Asked))
-			r.got.add(w.step(now), float64(t.Got-last.Got))
+		if last, known := r.peers[from]; known {
+			r.asked.add(w.step(now), float64(max(t.Asked-last.Asked, 0)))
+			r.got.add(w.step(now), float64(max(t.Got-last.Got, 0)))
+		} else {
+			r.asked.spread(w.step(now), float64(t.RecentAsked))
+			r.got.spread(w.step(now), float64(t.RecentGot))
 		}
 		r.peers[from] = t
 		if t.Restrained {
@@ -245,6 +280,14 @@
 // add adds to the current step.
 func (g *ring) add(step int64, v float64) { *g.at(step) += v }
 
+// spread adds to all steps evenly.
+func (g *ring) spread(step int64, v float64) {
+	g.at(step)
+	for i := range g.parts {
+		g.parts[i] += v / windowSteps
+	}
+}
+
 // sum returns the sum over the window.
 func (g *ring) sum(step int64) float64 {
 	g.at(step)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -166,7 +166,8 @@
 	result := place.Left
 	defer func() { lease.End(result) }()
 	r.note("placed", "server", lease.Instance.ID, "zone", lease.Instance.Zone, "version", r.match.Version,
-		"waited", time.Since(r.call.Received), "expected", lease.Expected, "read", lease.Missing, "held", lease.Held)
+		"waited", time.Since(r.call.Received), "expected", lease.Expected, "read", lease.Missing, "held", lease.Held,
+		"workspace", r.match.Workspace, "share", lease.Standing, "cost", r.call.Prompt.Cost())
 	lease.Begin()
 	r.sends++
 	resp, err := r.f.o.Sender.Send(ctx, backend.Sending{
--- a/place/choose.go
+++ b/place/choose.go
@@ -20,9 +20,10 @@
 	// and for those that got more than others that are held back.
 	spareTime = 60 * time.Millisecond
 	aheadTime = 10 * time.Millisecond
-	// spareWaitPart is the part of the target time for which the calls of such
-	// workspaces wait, as a divisor.
-	spareWaitPart = 8
+	// beyondWaitPart and aheadWaitPart are the parts of the target time for which
+	// the calls of such workspaces wait, as divisors.
+	beyondWaitPart = 2
+	aheadWaitPart  = 8
 	// displaceWeight is how much a shared token that has to be read counts
 	// beyond its reading: a second copy displaces other parts.
 	displaceWeight = 2.0
@@ -130,15 +131,21 @@
 	if s.engine == nil {
 		return l.running < s.slots()+spareCalls
 	}
-	if l.running == 0 {
+	standing := p.standing(g, j)
+	if l.running == 0 && standing != fair.Barred {
 		return true
 	}
 	slots, hold := s.slots(), holdTime
-	switch p.standing(g, j) {
+	switch standing {
+	case fair.Barred:
+		return false
 	case fair.Beyond:
 		slots, hold = slots/2, spareTime
 	case fair.Ahead:
 		slots, hold = slots/4, aheadTime
+		if g.waiting > 0 && j.at == nil {
+			return false
+		}
 	case fair.Within:
 	}
 	need := j.Prompt.Tokens + j.Prompt.MaxOutput
@@ -151,7 +158,7 @@
 	s := o.server
 	l := &Lease{
 		pool: p, job: j, server: s, Instance: s.instance,
-		Missing: o.missing, Held: j.Prompt.Tokens - o.missing, Expected: o.first,
+		Missing: o.missing, Held: j.Prompt.Tokens - o.missing, Expected: o.first, Standing: p.standing(g, j),
 		load: load{1, o.missing, j.Prompt.Tokens + j.Prompt.MaxOutput},
 		sent: now,
 	}
@@ -293,8 +300,14 @@
 // patience is until when a job waits for room. A workspace that got its share is
 // told soon that there is no more.
 func (p *Pool) patience(g *group, j *Job) time.Time {
-	if j.Target > 0 && p.standing(g, j) != fair.Within {
-		return j.Arrived.Add(j.Target / spareWaitPart)
+	if j.Target > 0 {
+		switch p.standing(g, j) {
+		case fair.Beyond:
+			return j.Arrived.Add(j.Target / beyondWaitPart)
+		case fair.Ahead, fair.Barred:
+			return j.Arrived.Add(j.Target / aheadWaitPart)
+		case fair.Within:
+		}
 	}
 	return j.Arrived.Add(time.Duration(float64(j.Deadline.Sub(j.Arrived)) * waitShare))
 }
--- a/place/job.go
+++ b/place/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/fair"
 )
 
 // Job is a call that needs a backend server.
@@ -43,6 +44,8 @@
 	// Missing is the number of prompt tokens that the server is expected to
 	// read, Held the number that it is believed to hold.
 	Missing, Held int
+	// Standing is how the workspace stood towards its share.
+	Standing fair.Standing
 	// Expected is the expected time to the first token.
 	Expected time.Duration
 	server   *server
