--- /dev/null
+++ b/edge/change_test.go
@@ -0,0 +1,179 @@
+package edge_test
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonladder/wigeonladder/platform/stub"
+	"github.com/wigeonladder/wigeonladder/route"
+)
+
+// Guards against work for a backend server that is leaving or gone.
+func TestLeavingServer(t *testing.T) {
+	for name, leave := range map[string]func(*rig){
+		"listed as leaving": func(r *rig) {
+			i := r.apps[0].Instance()
+			i.Leaving = true
+			r.store.PutServer(i)
+		},
+		"removed": func(r *rig) { r.store.RemoveServer(r.apps[0].Instance().ID) },
+		"unreadable": func(r *rig) {
+			r.store.PutRaw("servers/"+r.apps[0].Instance().ID, []byte(`{"service":7}`))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			leave(r)
+			r.eventually("it gets no work", func() bool {
+				for _, s := range r.daemons[0].Dump().Servers {
+					if s.Server == r.apps[0].Instance().ID && !s.Leaving {
+						return false
+					}
+				}
+				return true
+			})
+			before := len(r.apps[0].Runs())
+			for range 10 {
+				c := r.call("/once/x")
+				wantWhole(t, c, r.do(c))
+			}
+			is.New(t).Equal(len(r.apps[0].Runs()), before)
+		})
+	}
+}
+
+// Guards against a call that runs at another server which got the address.
+func TestAddressIsUsedAgain(t *testing.T) {
+	r := newRig(t)
+	for _, s := range r.apps {
+		i := s.Instance()
+		i.ID += "-gone"
+		r.store.PutServer(i)
+		r.store.RemoveServer(s.Instance().ID)
+	}
+	r.eventually("the new names are known", func() bool {
+		n := 0
+		for _, s := range r.daemons[0].Dump().Servers {
+			if s.Service == service && len(s.Server) > len("app-0") {
+				n++
+			}
+		}
+		return n == len(r.apps)
+	})
+	c := r.call("/once/x")
+	r.wantNotRun(c, r.do(c))
+}
+
+// Guards against entries of other writers that take a service down.
+func TestForeignEntries(t *testing.T) {
+	r := newRig(t)
+	for i, text := range []string{`{`, `[]`, `{"service":"app"}`, `{"service":"app","address":1,"zone":"z","slots":1,"state":"ready"}`, "\xff\xfe",
+		`{"service":"app","address":"127.0.0.1:1","zone":"z","slots":1,"state":"odd"}`} {
+		r.store.PutRaw(fmt.Sprintf("servers/foreign-%d", i), []byte(text))
+	}
+	r.publish(func(*route.Document) {})
+	for range 5 {
+		c := r.call("/once/x")
+		wantWhole(t, c, r.do(c))
+	}
+	is.New(t).Equal(len(r.daemons[0].Dump().Servers), 4)
+}
+
+// Guards against an old configuration that is still in force, or comes back.
+func TestConfigurationChanges(t *testing.T) {
+	r := newRig(t)
+	is := is.New(t)
+	old := r.config
+	r.publish(func(d *route.Document) {
+		d.Routes = d.Routes[1:]
+		d.Workspaces = d.Workspaces[:1]
+	})
+	is.Equal(r.do(r.call("/safe/x")).Status, 404)
+	c := r.call("/once/x")
+	c.Key = keyTwo
+	is.Equal(r.do(c).Status, 401)
+	r.store.PutConfig(old)
+	r.store.Compact()
+	r.publish(func(*route.Document) {})
+	is.Equal(r.do(r.call("/safe/x")).Status, 404)
+}
+
+// Guards against a withdrawn key that is accepted by a daemon which cannot hear
+// of it, and against calls without a key that suffer from that.
+func TestKeysNeedAFreshConfiguration(t *testing.T) {
+	r := newRig(t, withKeyTrust(3*time.Second))
+	r.store.SetMode(stub.Silent)
+	r.eventually("the daemon no longer trusts keys", func() bool { return !stub.Ready(t.Context(), r.readies[0]) })
+	c := r.call("/safe/x")
+	r.wantNotRun(c, r.do(c))
+	c = r.call("/public/x")
+	c.Key = ""
+	wantWhole(t, c, r.do(c))
+	r.store.SetMode(stub.Answering)
+	r.eventually("the daemon is ready again", func() bool { return stub.Ready(t.Context(), r.readies[0]) })
+	c = r.call("/safe/x")
+	wantWhole(t, c, r.do(c))
+}
+
+// Guards against a store in trouble that stops the serving of calls.
+func TestStoreInTrouble(t *testing.T) {
+	for name, m := range map[string]stub.Mode{"refusing": stub.Refusing, "resetting": stub.Resetting, "silent": stub.Silent} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.store.SetMode(m)
+			for range 10 {
+				c := r.call("/once/x")
+				wantWhole(t, c, r.do(c))
+			}
+			r.store.SetMode(stub.Answering)
+			r.publish(func(*route.Document) {})
+		})
+	}
+}
+
+// Guards against a planned stop that cuts calls off.
+func TestStopCutsNothing(t *testing.T) {
+	r := newRig(t, withDaemons(2))
+	for _, s := range append(r.apps, r.models...) {
+		s.Pace = 20 * time.Millisecond
+	}
+	var failed atomic.Int64
+	var callers sync.WaitGroup
+	stop := make(chan struct{})
+	for n := range 8 {
+		callers.Go(func() {
+			caller := stub.NewCaller(true)
+			defer caller.Close()
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				c := r.call([]string{"/once/x", "/stream/x"}[n%2])
+				at := r.fronts[0]
+				if !stub.Ready(t.Context(), r.readies[0]) {
+					at = r.fronts[1]
+				}
+				reply, err := caller.Do(t.Context(), at, c)
+				if err != nil && len(r.runs(c.ID)) == 0 {
+					continue // the connection ended between two calls
+				}
+				if err != nil || reply.Status != 200 || !reply.Complete {
+					t.Logf("call %s: %v, status %d", c.ID, err, reply.Status)
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	r.eventually("calls run", func() bool { return len(r.apps[0].Runs())+len(r.apps[1].Runs()) > 20 })
+	r.daemons[0].Stop(t.Context())
+	close(stop)
+	callers.Wait()
+	is.New(t).Equal(failed.Load(), int64(0))
+}
--- /dev/null
+++ b/edge/fault_test.go
@@ -0,0 +1,185 @@
+package edge_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonladder/wigeonladder/platform/stub"
+)
+
+// Guards against a call that may not be repeated and runs twice, or is called
+// "not run" although it ran, whatever its server does.
+func TestOnceRunsOnce(t *testing.T) {
+	for name, f := range map[string]stub.Fault{
+		"lost": stub.Lost, "torn": stub.Torn, "crossed": stub.Crossed, "unsigned": stub.Unsigned,
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.setFault(f)
+			c := r.call("/once/x")
+			reply := r.do(c)
+			is := is.New(t)
+			is.Equal(reply.Status, 502)
+			is.Equal(reply.Signed, "")
+			is.Equal(len(r.runs(c.ID)), 1)
+		})
+	}
+	t.Run("refused", func(t *testing.T) {
+		r := newRig(t)
+		r.setFault(stub.Busy)
+		c := r.call("/once/x")
+		r.wantNotRun(c, r.do(c))
+	})
+	t.Run("refused by one", func(t *testing.T) {
+		r := newRig(t)
+		first := make(chan struct{}, 1)
+		first <- struct{}{}
+		for _, s := range r.apps {
+			s.SetFault(func(int, *http.Request) stub.Fault {
+				select {
+				case <-first:
+					return stub.Busy
+				default:
+					return stub.None
+				}
+			})
+		}
+		c := r.call("/once/x")
+		wantWhole(t, c, r.do(c))
+		is.New(t).Equal(len(r.runs(c.ID)), 1)
+	})
+}
+
+// Guards against a safe call that is not repeated, or more often than its route
+// allows.
+func TestSafeIsRepeated(t *testing.T) {
+	for name, f := range map[string]stub.Fault{"lost": stub.Lost, "torn": stub.Torn, "failing": stub.Failing, "unsigned": stub.Unsigned} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.setFault(f)
+			c := r.call("/safe/x")
+			reply := r.do(c)
+			is := is.New(t)
+			is.True(reply.Status >= 500 && reply.Status != 503)
+			is.Equal(len(r.runs(c.ID)), 2)
+			if f == stub.Failing {
+				is.Equal(reply.Status, 500)
+				is.Equal(reply.Body, "failed")
+				is.Equal(reply.Signed, stub.Sign("failed"))
+			}
+			r.apps[0].SetFault(nil)
+			r.apps[1].SetFault(nil)
+			c = r.call("/safe/x")
+			wantWhole(t, c, r.do(c))
+		})
+	}
+}
+
+// Guards against answers that reach the wrong call over a kept connection.
+func TestKeptConnectionsStayInStep(t *testing.T) {
+	for name, f := range map[string]stub.Fault{"extra": stub.Extra, "unframed": stub.Unframed, "early": stub.Early} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			for _, s := range r.apps {
+				s.SetFault(func(n int, _ *http.Request) stub.Fault {
+					if n%2 == 1 {
+						return f
+					}
+					return stub.None
+				})
+			}
+			for range 40 {
+				c := r.call("/once/x")
+				if f == stub.Early {
+					c.Body = strings.Repeat("long body ", 20000)
+				}
+				wantWhole(t, c, r.do(c))
+				is.New(t).Equal(len(r.runs(c.ID)), 1)
+			}
+		})
+	}
+}
+
+// Guards against streams with gaps, repeated events, or an end that looks
+// complete and is not.
+func TestBrokenStreams(t *testing.T) {
+	t.Run("resumed", func(t *testing.T) {
+		r := newRig(t)
+		for _, s := range r.models {
+			s.SetFault(func(_ int, q *http.Request) stub.Fault {
+				if q.Header.Get("Last-Event-Id") == "" {
+					return stub.Torn
+				}
+				return stub.None
+			})
+		}
+		c := r.call("/stream/resume/x")
+		wantStream(t, c, r.do(c), 5)
+		is.New(t).Equal(len(r.runs(c.ID)), 2)
+	})
+	t.Run("not resumable", func(t *testing.T) {
+		r := newRig(t)
+		r.setFault(stub.Torn)
+		c := r.call("/stream/x")
+		reply := r.do(c)
+		is := is.New(t)
+		is.True(!reply.Complete)
+		is.True(strings.HasSuffix(reply.Body, "\n\n"))
+		is.Equal(len(r.runs(c.ID)), 1)
+	})
+}
+
+// Guards against work that goes on at a server after its caller has gone.
+func TestCallerLeaves(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			r := newRig(t)
+			for _, s := range append(r.apps, r.models...) {
+				s.Pace = time.Minute
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			c := r.call(path)
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				_, _ = r.caller.Do(ctx, r.fronts[0], c)
+			}()
+			r.eventually("the call runs", func() bool { return len(r.runs(c.ID)) == 1 })
+			cancel()
+			<-done
+			r.eventually("the server is told", func() bool { return r.runs(c.ID)[0].Gone })
+		})
+	}
+}
+
+// Guards against a call that is held past the timeout of its route.
+func TestRouteTimeout(t *testing.T) {
+	r := newRig(t)
+	r.setFault(stub.Hanging)
+	c := r.call("/short/x")
+	began := time.Now()
+	is := is.New(t)
+	is.Equal(r.do(c).Status, 504)
+	is.True(time.Since(began) < c.Timeout)
+}
+
+// Guards against retries beyond the budget that all daemons share.
+func TestRetryBudget(t *testing.T) {
+	r := newRig(t, withRetry(0, 10))
+	r.setFault(stub.Failing)
+	const calls = 40
+	runs := 0
+	for range calls {
+		c := r.call("/safe/x")
+		r.do(c)
+		runs += len(r.runs(c.ID))
+	}
+	is := is.New(t)
+	is.True(runs > calls)
+	is.True(runs <= calls+10)
+}
--- /dev/null
+++ b/edge/path_test.go
@@ -0,0 +1,66 @@
+package edge_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonladder/wigeonladder/platform/stub"
+)
+
+// Guards against a path on which answers are changed, or on which callers set
+// what only the fleet may set.
+func TestWholePath(t *testing.T) {
+	r := newRig(t)
+	for _, path := range []string{"/safe/a?x=%20y", "/once/b", "/public/c"} {
+		t.Run(strings.Trim(path[:5], "/"), func(t *testing.T) {
+			is := is.New(t)
+			c := r.call(path)
+			c.Header = map[string]string{"Tenant-Id": "forged", "Expected-Replica": "forged", "Hold": "h", "Pin-Ms": "9", "Kv-From": "x", "X-Own": "kept"}
+			wantWhole(t, c, r.do(c))
+			runs := r.runs(c.ID)
+			is.Equal(len(runs), 1)
+			is.Equal(runs[0].Path, path)
+			is.Equal(runs[0].Body, c.Body)
+			is.Equal(runs[0].Key, "")
+			is.True(runs[0].Left > 0 && runs[0].Left <= c.Timeout)
+			want := map[string]string{"/public/c": ""}
+			workspace, public := want[path]
+			if !public {
+				workspace = "north"
+			}
+			is.Equal(runs[0].Workspace, workspace)
+			is.Equal(runs[0].Header.Get("Hold")+runs[0].Header.Get("Pin-Ms")+runs[0].Header.Get("Kv-From"), "")
+			is.Equal(runs[0].Header.Get("X-Own"), "kept")
+		})
+	}
+	t.Run("stream", func(t *testing.T) {
+		c := r.call("/stream/x")
+		c.Prompt, c.Tokens, c.Output = "aa:100,bb:20", 120, 30
+		wantStream(t, c, r.do(c), 5)
+		is.New(t).Equal(r.runs(c.ID)[0].Header.Get("Prompt-Prefix"), c.Prompt)
+	})
+}
+
+// Guards against calls that are let in without a route or a key.
+func TestAdmission(t *testing.T) {
+	r := newRig(t)
+	for name, x := range map[string]struct {
+		status int
+		change func(*stub.Call)
+	}{
+		"no route": {404, func(c *stub.Call) { c.Path = "/other/" }},
+		"no host":  {404, func(c *stub.Call) { c.Host = "other.example" }},
+		"no key":   {401, func(c *stub.Call) { c.Key = "" }},
+		"bad key":  {401, func(c *stub.Call) { c.Key = "wrong" }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := r.call("/safe/a")
+			x.change(&c)
+			is := is.New(t)
+			is.Equal(r.do(c).Status, x.status)
+			is.Equal(len(r.runs(c.ID)), 0)
+		})
+	}
+}
--- /dev/null
+++ b/edge/rig_test.go
@@ -0,0 +1,261 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/edge"
+	"github.com/wigeonladder/wigeonladder/platform"
+	"github.com/wigeonladder/wigeonladder/platform/stub"
+	"github.com/wigeonladder/wigeonladder/route"
+	"github.com/wigeonladder/wigeonladder/setting"
+)
+
+// deadline bounds every wait; no test passes or fails by it unless it hangs.
+const deadline = 30 * time.Second
+
+// Names of the rig.
+const (
+	host    = "shop.example"
+	key     = "key-1"
+	keyTwo  = "key-2"
+	service = "app"
+	engines = "model"
+)
+
+// rig is a store, backend servers of two services, and daemons on loopback.
+type rig struct {
+	t       *testing.T
+	store   *stub.Store
+	apps    []*stub.Server
+	models  []*stub.Server
+	daemons []*edge.Daemon
+	fronts  []string
+	readies []string
+	caller  *stub.Caller
+	ids     atomic.Int64
+	config  route.Document
+}
+
+// option changes the rig before its daemons start.
+type option func(*setup)
+
+// setup is what options change.
+type setup struct {
+	daemons, apps, models int
+	settings              setting.Edge
+}
+
+// withDaemons sets the number of daemons.
+func withDaemons(n int) option { return func(s *setup) { s.daemons = n } }
+
+// withKeyTrust sets how long a withdrawn key may be accepted.
+func withKeyTrust(d time.Duration) option {
+	return func(s *setup) { s.settings.KeyTrust = setting.Duration(d) }
+}
+
+// withRetry sets the retry budget.
+func withRetry(ratio, slack float64) option {
+	return func(s *setup) { s.settings.Retry.Ratio, s.settings.Retry.Slack = ratio, slack }
+}
+
+// newRig starts a rig; it ends with the test.
+func newRig(t *testing.T, options ...option) *rig {
+	t.Helper()
+	s := setup{daemons: 1, apps: 2, models: 2, settings: setting.DefaultEdge()}
+	s.settings.Retry.Slack = 1000
+	for _, o := range options {
+		o(&s)
+	}
+	r := &rig{t: t, store: stub.NewStore(listen(t)), caller: stub.NewCaller(true), config: document()}
+	t.Cleanup(r.store.Close)
+	t.Cleanup(r.caller.Close)
+	for i := range s.apps {
+		r.apps = append(r.apps, r.serve(fmt.Sprintf("app-%d", i), service))
+	}
+	for i := range s.models {
+		r.models = append(r.models, r.serve(fmt.Sprintf("model-%d", i), engines))
+	}
+	r.store.PutConfig(r.config)
+	var seeds []string
+	for i := range s.daemons {
+		seeds = r.start(s.settings, i, seeds)
+	}
+	for i := range r.daemons {
+		r.eventually("daemon is ready", func() bool { return stub.Ready(t.Context(), r.readies[i]) })
+	}
+	r.eventually("servers are known", func() bool {
+		for _, d := range r.daemons {
+			if len(d.Dump().Servers) != s.apps+s.models || d.Dump().Daemons != s.daemons {
+				return false
+			}
+		}
+		return true
+	})
+	return r
+}
+
+// start starts a daemon and returns the seeds for the next one.
+func (r *rig) start(s setting.Edge, n int, seeds []string) []string {
+	r.t.Helper()
+	s.Name, s.Zone, s.Store = fmt.Sprintf("edge-%d", n), "zone-a", r.store.Address()
+	s.Front, s.Ready, s.Peer = address(r.t), address(r.t), address(r.t)
+	s.Seeds = seeds
+	ctx, cancel := context.WithCancel(context.Background())
+	r.t.Cleanup(cancel)
+	d, err := edge.New(ctx, edge.Options{
+		Settings: s,
+		Platform: func(dial func(context.Context, string) (net.Conn, error)) edge.Platform {
+			return platform.New(s.Store, dial)
+		},
+	})
+	is.New(r.t).NoErr(err)
+	r.daemons = append(r.daemons, d)
+	r.fronts = append(r.fronts, s.Front)
+	r.readies = append(r.readies, s.Ready)
+	return append(seeds, s.Peer)
+}
+
+// serve starts a backend server and lists it.
+func (r *rig) serve(name, service string) *stub.Server {
+	s := stub.NewServer(listen(r.t), wigeonladder.Instance{ID: name, Born: 1, Service: service, Zone: "zone-a", Slots: 8})
+	r.t.Cleanup(s.Close)
+	r.store.PutServer(s.Instance())
+	return s
+}
+
+// document returns the first configuration.
+func document() route.Document {
+	return route.Document{
+		Version: 1,
+		Routes: []route.Route{
+			{Name: "safe", Host: host, Prefix: "/safe/", Kind: route.Safe, Timeout: 3 * time.Second, Target: time.Second, MaxAttempts: 2, Targets: []route.Target{{Service: service, Weight: 1}}},
+			{Name: "once", Host: host, Prefix: "/once/", Kind: route.Once, Timeout: 3 * time.Second, Target: time.Second, MaxAttempts: 1, Targets: []route.Target{{Service: service, Weight: 1}}},
+			{Name: "public", Host: host, Prefix: "/public/", Kind: route.Safe, Timeout: 3 * time.Second, MaxAttempts: 1, Public: true, Targets: []route.Target{{Service: service, Weight: 1}}},
+			{Name: "short", Host: host, Prefix: "/short/", Kind: route.Safe, Timeout: 300 * time.Millisecond, MaxAttempts: 1, Targets: []route.Target{{Service: service, Weight: 1}}},
+			{Name: "resume", Host: host, Prefix: "/stream/resume/", Kind: route.Stream, Resumable: true, Timeout: 5 * time.Second, Target: time.Second, MaxAttempts: 2, Targets: []route.Target{{Service: engines, Weight: 1}}},
+			{Name: "stream", Host: host, Prefix: "/stream/", Kind: route.Stream, Timeout: 5 * time.Second, Target: time.Second, MaxAttempts: 1, Targets: []route.Target{{Service: engines, Weight: 1}}},
+		},
+		Services: []route.Service{
+			{Name: service, MaxConns: 100},
+			{Name: engines, MaxConns: 100, Engine: &route.Engine{Slots: 8, CacheTokens: 100000}},
+		},
+		Workspaces: []route.Workspace{{Name: "north", Keys: []string{key}}, {Name: "south", Keys: []string{keyTwo}}},
+		Limits:     route.Limits{TokensPerSecond: 100000},
+	}
+}
+
+// listen returns a listener on loopback.
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	return l
+}
+
+// address returns a free address on loopback.
+func address(t *testing.T) string {
+	t.Helper()
+	l := listen(t)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// eventually waits until a condition holds.
+func (r *rig) eventually(what string, ok func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(deadline); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			r.t.Fatalf("did not come: %s", what)
+		}
+	}
+}
+
+// call returns a call of a path with a new id and the first key.
+func (r *rig) call(path string) stub.Call {
+	return stub.Call{ID: fmt.Sprintf("c-%d", r.ids.Add(1)), Host: host, Path: path, Key: key, Timeout: 2 * time.Second, Body: "body of " + path}
+}
+
+// do makes a call of the first daemon.
+func (r *rig) do(c stub.Call) stub.Reply {
+	r.t.Helper()
+	reply, err := r.caller.Do(r.t.Context(), r.fronts[0], c)
+	is.New(r.t).NoErr(err)
+	return reply
+}
+
+// runs returns all runs of the calls with an id.
+func (r *rig) runs(id string) []stub.Run {
+	var l []stub.Run
+	for _, s := range append(append([]*stub.Server{}, r.apps...), r.models...) {
+		for _, x := range s.Runs() {
+			if x.ID == id {
+				l = append(l, x)
+			}
+		}
+	}
+	return l
+}
+
+// setFault sets the fault of all backend servers.
+func (r *rig) setFault(f stub.Fault) {
+	for _, s := range append(append([]*stub.Server{}, r.apps...), r.models...) {
+		s.SetFault(stub.Always(f))
+	}
+}
+
+// publish publishes a changed configuration and waits until it is in force.
+func (r *rig) publish(change func(*route.Document)) {
+	r.t.Helper()
+	r.config.Version++
+	change(&r.config)
+	r.store.PutConfig(r.config)
+	for _, d := range r.daemons {
+		r.eventually("the configuration is in force", func() bool { return d.Dump().Version == r.config.Version })
+	}
+}
+
+// wantWhole asserts the whole answer to a call of a plain service.
+func wantWhole(t *testing.T, c stub.Call, r stub.Reply) {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(r.Status, 200)
+	is.Equal(r.Body, stub.Body(c.ID))
+	is.Equal(r.Signed, stub.Sign(r.Body))
+	is.Equal(r.ID, c.ID)
+	is.True(r.Complete)
+}
+
+// wantStream asserts a whole stream that began at one server and may have gone on
+// at another.
+func wantStream(t *testing.T, c stub.Call, r stub.Reply, events int) {
+	t.Helper()
+	is := is.New(t)
+	var want strings.Builder
+	for i := 1; i <= events; i++ {
+		want.WriteString(stub.Event(c.ID, i))
+	}
+	is.Equal(r.Status, 200)
+	is.Equal(r.Body, want.String())
+	is.Equal(r.Signed, stub.Sign(c.ID))
+	is.True(r.Complete)
+}
+
+// wantNotRun asserts a refusal that says that the call did not run, and that it
+// did not.
+func (r *rig) wantNotRun(c stub.Call, reply stub.Reply) {
+	r.t.Helper()
+	is := is.New(r.t)
+	is.Equal(reply.Status, 503)
+	is.Equal(reply.Signed, "")
+	is.True(reply.RetryAfter > 0)
+	is.Equal(len(r.runs(c.ID)), 0)
+}
--- a/front/server.go
+++ b/front/server.go
@@ -140,7 +140,13 @@
 		Body:     c.Request.SwapBody(nil),
 		Received: time.Now(),
 	}
-	if err := s.o.Codec.Call(&c.Request.Header, call); err != nil {
+	err := ambiguous(c.Request.Header.RawHeaders())
+	if err == nil {
+		err = s.o.Codec.Call(&c.Request.Header, call)
+	} else {
+		c.SetConnectionClose()
+	}
+	if err != nil {
 		s.o.Journal.Note(call.ID, "call_unreadable", "code", err.Code, "detail", err.Detail)
 		s.o.Codec.Refuse(&c.Response, call, err)
 		return
