--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -6,6 +6,7 @@
 	"net"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -27,13 +28,14 @@
 )
 
 const (
-	// configWait is how long one watch of the configuration waits. Each answer
-	// confirms that the keys are those in force.
-	configWait = 700 * time.Millisecond
-	// serversWait and serversPause are the same for backend servers, whose
-	// entries change about every heartbeat; the pause gathers changes.
-	serversWait  = 5 * time.Second
-	serversPause = 250 * time.Millisecond
+	// storeWait is how long one watch of the store waits. Each answer confirms
+	// that the keys are those in force.
+	storeWait = 700 * time.Millisecond
+	// storePause is the time between two watches, in which changes gather: the
+	// entries of backend servers change at every heartbeat, and each call of the
+	// store counts. It is well below the time in which changes have to be in
+	// force.
+	storePause = 800 * time.Millisecond
 	// trustMargin is taken off the time for which keys are trusted. It covers a
 	// watch that hears of a change only a second after it.
 	trustMargin = 1300 * time.Millisecond
@@ -62,13 +64,13 @@
 type Platform struct {
 	// Store reads the platform's store.
 	Store inventory.Store
-	// ConfigPrefix and ConfigKey are where the configuration is, ServersPrefix
-	// is where the backend servers are.
-	ConfigPrefix, ConfigKey, ServersPrefix string
-	ParseConfig                            func([]byte) (route.Document, error)
-	ParseServer                            func(inventory.Item) (wigeonladder.Instance, error)
-	Callers                                front.Codec
-	Servers                                backend.Codec
+	// ConfigKey is the key of the configuration, ServersPrefix begins the keys
+	// of the backend servers.
+	ConfigKey, ServersPrefix string
+	ParseConfig              func([]byte) (route.Document, error)
+	ParseServer              func(inventory.Item) (wigeonladder.Instance, error)
+	Callers                  front.Codec
+	Servers                  backend.Codec
 	// ReadyPath is where the platform asks for readiness.
 	ReadyPath string
 }
@@ -159,23 +161,26 @@
 	return d.mesh.Alive()
 }
 
-// follow follows the store.
+// follow follows the store. One watch of all items takes fewer calls than one for
+// each kind.
 func (d *Daemon) follow(ctx context.Context) {
 	p := d.platform
-	apply := func(items []inventory.Item) {
+	split := func(items []inventory.Item) (servers []inventory.Item) {
 		for _, i := range items {
-			if i.Key == p.ConfigKey && !i.Removed {
+			switch {
+			case i.Key == p.ConfigKey && !i.Removed:
 				d.configure(i)
+			case strings.HasPrefix(i.Key, p.ServersPrefix):
+				servers = append(servers, i)
 			}
 		}
+		return servers
 	}
 	go inventory.Follow(ctx, inventory.Options{
-		Name: "configuration", Store: p.Store, Prefix: p.ConfigPrefix, Wait: configWait,
-		Reset: apply, Apply: apply, Confirm: d.book.Confirm, Now: uptime, Journal: d.journal,
-	})
-	go inventory.Follow(ctx, inventory.Options{
-		Name: "servers", Store: p.Store, Prefix: p.ServersPrefix, Wait: serversWait, Pause: serversPause,
-		Reset: d.roster.Reset, Apply: d.roster.Apply, Regained: d.roster.Regained, Now: uptime, Journal: d.journal,
+		Store: p.Store, Wait: storeWait, Pause: storePause,
+		Reset:   func(items []inventory.Item) { d.roster.Reset(split(items)) },
+		Apply:   func(items []inventory.Item) { d.roster.Apply(split(items)) },
+		Confirm: d.book.Confirm, Regained: d.roster.Regained, Now: uptime, Journal: d.journal,
 	})
 }
 
--- a/fair/window.go
+++ b/fair/window.go
@@ -19,8 +19,8 @@
 	// one may get before it comes behind that one; with maxLead times as much it
 	// gets nothing. Without a bound, the workspace that calls most often would
 	// find nearly all of the room that is spare.
-	lead    = 1.25
-	maxLead = 1.6
+	lead    = 1.1
+	maxLead = 1.3
 	// maxWindowRows bounds the workspaces of one window.
 	maxWindowRows = 4096
 )
--- a/inventory/follower.go
+++ b/inventory/follower.go
@@ -23,8 +23,8 @@
 
 // Options are what a Follower needs.
 type Options struct {
-	Name   string
-	Store  Store
+	Store Store
+	// Prefix begins the keys that are followed; empty for all.
 	Prefix string
 	// Wait is how long one watch waits for a change, Pause the time between
 	// two watches, in which changes gather.
@@ -102,7 +102,7 @@
 		p, err := f.o.Store.Watch(call, f.o.Prefix, revision, f.o.Wait)
 		cancel()
 		if errors.Is(err, ErrCompacted) {
-			f.o.Journal.Note("", "store_compacted", "items", f.o.Name, "after", revision)
+			f.o.Journal.Note("", "store_compacted", "after", revision)
 			return
 		}
 		if err != nil {
@@ -130,7 +130,7 @@
 func (f *Follower) answered() {
 	if f.lost {
 		f.lost = false
-		f.o.Journal.Note("", "store_regained", "items", f.o.Name, "after", time.Since(f.seen))
+		f.o.Journal.Note("", "store_regained", "after", time.Since(f.seen))
 		if f.o.Regained != nil {
 			f.o.Regained()
 		}
@@ -146,7 +146,7 @@
 	}
 	if !f.lost && time.Since(f.seen) > lostAfter {
 		f.lost = true
-		f.o.Journal.Note("", "store_lost", "items", f.o.Name, "age", time.Since(f.seen), "error", err)
+		f.o.Journal.Note("", "store_lost", "age", time.Since(f.seen), "error", err)
 	}
 	sleep(ctx, f.wait.NextBackOff())
 }
