--- a/fair/window.go
+++ b/fair/window.go
@@ -21,6 +21,10 @@
 	// find nearly all of the room that is spare.
 	lead    = 1.1
 	maxLead = 1.3
+	// wanting is the part of what it asks for below which a restrained workspace
+	// holds others back; one that gets nearly all of it only has calls that come
+	// late.
+	wanting = 0.75
 	// maxWindowRows bounds the workspaces of one window.
 	maxWindowRows = 4096
 )
@@ -193,13 +197,12 @@
 	demands := make([]float64, 0, len(w.rows))
 	w.hasLeast = false
 	for _, r := range w.rows {
-		if d := r.asked.sum(w.step(now)); d > 0 {
-			demands = append(demands, d)
+		got, asked := r.got.sum(w.step(now)), r.asked.sum(w.step(now))
+		if asked > 0 {
+			demands = append(demands, asked)
 		}
-		if now.Sub(r.restrained) < restrainedFor {
-			if g := r.got.sum(w.step(now)); !w.hasLeast || g < w.least {
-				w.least, w.hasLeast = g, true
-			}
+		if now.Sub(r.restrained) < restrainedFor && got < wanting*asked && (!w.hasLeast || got < w.least) {
+			w.least, w.hasLeast = got, true
 		}
 	}
 	w.level = level(demands, w.capacity*(windowStep*windowSteps).Seconds())
--- a/fair/window_test.go
+++ b/fair/window_test.go
@@ -49,6 +49,7 @@
 		time.Sleep(windowStep)
 		is.Equal(w.Standing("large"), Beyond)
 		w.Got("large", 5000)
+		w.Asked("small", 1000)
 		w.Restrained("small")
 		time.Sleep(windowStep)
 		is.Equal(w.Standing("large"), Barred)
--- a/place/choose.go
+++ b/place/choose.go
@@ -18,8 +18,8 @@
 	holdTime = 300 * time.Millisecond
 	// spareTime and aheadTime are the same for workspaces that got their share,
 	// and for those that got more than others that are held back.
-	spareTime = 60 * time.Millisecond
-	aheadTime = 10 * time.Millisecond
+	spareTime = 150 * time.Millisecond
+	aheadTime = 40 * time.Millisecond
 	// beyondWaitPart and aheadWaitPart are the parts of the target time for which
 	// the calls of such workspaces wait, as divisors.
 	beyondWaitPart = 2
@@ -140,9 +140,9 @@
 	case fair.Barred:
 		return false
 	case fair.Beyond:
-		slots, hold = slots/2, spareTime
+		slots, hold = slots*3/4, spareTime
 	case fair.Ahead:
-		slots, hold = slots/4, aheadTime
+		slots, hold = slots/2, aheadTime
 		if g.waiting > 0 && j.at == nil {
 			return false
 		}
