--- a/backend/send.go
+++ b/backend/send.go
@@ -180,10 +180,11 @@
 			return l, err
 		}
 		idle := time.Since(l.idle)
-		if !(s.Once && idle > onceIdle) && !(l.keep > 0 && idle > l.keep-keepMargin) {
-			return l, nil
+		if s.Once && idle > onceIdle || l.keep > 0 && idle > l.keep-keepMargin {
+			_ = l.Close()
+			continue
 		}
-		_ = l.Close()
+		return l, nil
 	}
 }
 
--- a/edge/change_test.go
+++ b/edge/change_test.go
@@ -72,8 +72,10 @@
 // Guards against entries of other writers that take a service down.
 func TestForeignEntries(t *testing.T) {
 	r := newRig(t)
-	for i, text := range []string{`{`, `[]`, `{"service":"app"}`, `{"service":"app","address":1,"zone":"z","slots":1,"state":"ready"}`, "\xff\xfe",
-		`{"service":"app","address":"127.0.0.1:1","zone":"z","slots":1,"state":"odd"}`} {
+	for i, text := range []string{
+		`{`, `[]`, `{"service":"app"}`, `{"service":"app","address":1,"zone":"z","slots":1,"state":"ready"}`, "\xff\xfe",
+		`{"service":"app","address":"127.0.0.1:1","zone":"z","slots":1,"state":"odd"}`,
+	} {
 		r.store.PutRaw(fmt.Sprintf("servers/foreign-%d", i), []byte(text))
 	}
 	r.publish(func(*route.Document) {})
--- a/forward/again.go
+++ b/forward/again.go
@@ -98,7 +98,7 @@
 		return err
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return wigeonladder.Errorf(wigeonladder.CodeWaitTooLong, err.Place, "%s", err.Detail).WithWait(staleWait)
-	case err.Code.Fact().Status >= 500 && err.Wait == 0:
+	case err.Code.Fact().Status >= 500 && err.Wait == 0 && err.RetryAfter == 0:
 		return wigeonladder.Errorf(wigeonladder.CodeNoServer, err.Place, "%v", err).WithWait(staleWait)
 	}
 	return err
--- /dev/null
+++ b/forward/forwarder_test.go
@@ -0,0 +1,214 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/backend"
+	"github.com/wigeonladder/wigeonladder/place"
+	"github.com/wigeonladder/wigeonladder/retry"
+	"github.com/wigeonladder/wigeonladder/route"
+)
+
+// sender fails sendings with errors in order, and the last one for ever.
+type sender struct {
+	errs  []wigeonladder.Code
+	sent  []backend.Sending
+	alive bool
+	delay time.Duration
+}
+
+// Send implements Sender.
+func (s *sender) Send(ctx context.Context, x backend.Sending) (*backend.Response, *wigeonladder.Error) {
+	if err := x.Check(); err != nil {
+		return nil, asError(err)
+	}
+	s.sent = append(s.sent, x)
+	t := time.NewTimer(s.delay)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+		return nil, wigeonladder.Errorf(wigeonladder.CodeTimeout, x.Instance.ID, "%v", ctx.Err())
+	}
+	c := s.errs[min(len(s.sent), len(s.errs))-1]
+	return nil, wigeonladder.Errorf(c, x.Instance.ID, "scripted")
+}
+
+// Alive implements Sender.
+func (s *sender) Alive(wigeonladder.Instance) bool { return s.alive }
+
+// outcome is a reply that keeps a refusal.
+type outcome struct {
+	err     *wigeonladder.Error
+	aborted bool
+}
+
+func (o *outcome) Whole(wigeonladder.Answer, []byte) error { return errors.New("not scripted") }
+func (o *outcome) Begin(wigeonladder.Answer) error         { return errors.New("not scripted") }
+func (o *outcome) Event([]byte) error                      { return errors.New("not scripted") }
+func (o *outcome) End() error                              { return errors.New("not scripted") }
+func (o *outcome) Abort()                                  { o.aborted = true }
+func (o *outcome) Refuse(e *wigeonladder.Error)            { o.err = e }
+
+// silent is a journal that keeps nothing.
+type silent struct{}
+
+// Note implements wigeonladder.Journal.
+func (silent) Note(string, string, ...any) {}
+
+// rig is a forwarder before three servers of one service.
+type rig struct {
+	*Forwarder
+	sender   *sender
+	book     *route.Book
+	suspects *retry.Suspects
+	now      time.Duration
+}
+
+// bubble runs a test with a rig on virtual time.
+func bubble(t *testing.T, errs []wigeonladder.Code, test func(*testing.T, *rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &rig{sender: &sender{errs: errs, alive: true}, suspects: retry.NewSuspects()}
+		r.book = route.NewBook(func() time.Duration { return r.now }, 3*time.Second)
+		r.book.Confirm(0)
+		at := func(name string, k route.Kind, attempts int) route.Route {
+			return route.Route{
+				Name: name, Host: "h", Prefix: "/" + name + "/", Kind: k, MaxAttempts: attempts, Resumable: name == "resume",
+				Timeout: 2 * time.Second, Target: time.Second, Targets: []route.Target{{Service: "s", Weight: 1}},
+			}
+		}
+		r.book.Accept(route.Document{
+			Version: 1, Services: []route.Service{{Name: "s"}},
+			Routes: []route.Route{at("safe", route.Safe, 2), at("once", route.Once, 1), at("stream", route.Stream, 2), at("resume", route.Stream, 2)},
+		})
+		pool := place.NewPool(t.Context(), place.Options{})
+		for _, id := range []string{"a", "b", "c"} {
+			pool.Put(wigeonladder.Instance{ID: id, Service: "s", Slots: 4})
+		}
+		r.Forwarder = New(Options{
+			Book: r.book, Pool: pool, Sender: r.sender, Suspects: r.suspects, Journal: silent{},
+			Budget: retry.NewWindow(retry.Allowance{Slack: 100, Period: 10 * time.Second}, func() int { return 1 }),
+		})
+		test(t, r)
+	})
+}
+
+// serve runs a call and returns its refusal.
+func (r *rig) serve(t *testing.T, path string) *wigeonladder.Error {
+	t.Helper()
+	o := &outcome{}
+	r.Serve(t.Context(), &wigeonladder.Call{ID: "id", Method: "POST", Host: "h", Path: path, Body: []byte(path), Received: time.Now()}, o)
+	if o.err == nil {
+		t.Fatal("no refusal")
+	}
+	return o.err
+}
+
+// Codes in short.
+const (
+	connect = wigeonladder.CodeConnect
+	refused = wigeonladder.CodeRefused
+	broken  = wigeonladder.CodeBroken
+	crossed = wigeonladder.CodeCrossed
+)
+
+// Guards against a call that is sent again although it may have run, against one
+// that is given up although it did not, and against a refusal that says "not run"
+// and is wrong.
+func TestWhatIsSentAgain(t *testing.T) {
+	for name, x := range map[string]struct {
+		path   string
+		errs   []wigeonladder.Code
+		sent   int
+		status int
+	}{
+		"once, broken":               {"/once/", []wigeonladder.Code{broken}, 1, 502},
+		"once, crossed":              {"/once/", []wigeonladder.Code{crossed}, 1, 502},
+		"once, not connected":        {"/once/", []wigeonladder.Code{connect}, 3, 503},
+		"once, refused":              {"/once/", []wigeonladder.Code{refused}, 3, 503},
+		"once, refused, then broken": {"/once/", []wigeonladder.Code{refused, broken}, 2, 502},
+		"safe, broken":               {"/safe/", []wigeonladder.Code{broken}, 2, 502},
+		"safe, broken, then refused": {"/safe/", []wigeonladder.Code{broken, refused}, 3, 502},
+		"safe, refused":              {"/safe/", []wigeonladder.Code{refused}, 3, 503},
+		"stream, broken":             {"/stream/", []wigeonladder.Code{broken}, 1, 502},
+		"resumable, broken":          {"/resume/", []wigeonladder.Code{broken}, 2, 502},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, x.errs, func(t *testing.T, r *rig) {
+				is := is.New(t)
+				err := r.serve(t, x.path)
+				is.Equal(len(r.sender.sent), x.sent)
+				is.Equal(err.Code.Fact().Status, x.status)
+				is.Equal(x.status == 503, err.Wait > 0)
+				servers := map[string]bool{}
+				for _, s := range r.sender.sent {
+					servers[s.Instance.ID] = true
+				}
+				is.Equal(len(servers), x.sent)
+			})
+		})
+	}
+}
+
+// Guards against a call that crashes one server after the other, and against
+// innocent calls that are refused because answers get lost on their way.
+func TestCrashingCalls(t *testing.T) {
+	bubble(t, []wigeonladder.Code{broken}, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		r.sender.alive = false
+		is.Equal(r.serve(t, "/safe/").Code, broken)
+		is.Equal(len(r.sender.sent), 2)
+		is.Equal(r.serve(t, "/safe/").Code, wigeonladder.CodeSuspect)
+		is.Equal(len(r.sender.sent), 2)
+	})
+	bubble(t, []wigeonladder.Code{broken}, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		for range 5 {
+			is.Equal(r.serve(t, "/safe/").Code, broken)
+		}
+		is.Equal(len(r.sender.sent), 10)
+	})
+}
+
+// Guards against calls that are let through without a configuration that can be
+// trusted, and against "not found" from a daemon that only has an old one.
+func TestAdmissionNeedsAConfiguration(t *testing.T) {
+	bubble(t, []wigeonladder.Code{broken}, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		r.book.Accept(route.Document{
+			Version: 2, Services: []route.Service{{Name: "s"}},
+			Routes:     []route.Route{{Name: "safe", Host: "h", Prefix: "/safe/", Kind: route.Safe, MaxAttempts: 1, Targets: []route.Target{{Service: "s", Weight: 1}}}},
+			Workspaces: []route.Workspace{{Name: "w", Keys: []string{"k"}}},
+		})
+		is.Equal(r.serve(t, "/safe/").Code, wigeonladder.CodeNoCredential)
+		is.Equal(r.serve(t, "/other/").Code, wigeonladder.CodeNoService)
+		r.now = 3 * time.Second
+		is.Equal(r.serve(t, "/safe/").Code, wigeonladder.CodeStale)
+		is.Equal(r.serve(t, "/other/").Code, wigeonladder.CodeStale)
+		is.Equal(len(r.sender.sent), 0)
+	})
+}
+
+// Guards against more time for a backend server than is left, and against a call
+// that is held beyond the timeout of its route.
+func TestTimeLeft(t *testing.T) {
+	bubble(t, []wigeonladder.Code{broken}, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		r.sender.delay = 700 * time.Millisecond
+		r.serve(t, "/safe/")
+		is.Equal(len(r.sender.sent), 2)
+		is.Equal(r.sender.sent[0].Left, 2*time.Second)
+		is.Equal(r.sender.sent[1].Left, 1300*time.Millisecond)
+		r.sender.delay = time.Minute
+		began := time.Now()
+		is.Equal(r.serve(t, "/safe/").Code, wigeonladder.CodeTimeout)
+		is.Equal(time.Since(began), 2*time.Second)
+	})
+}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -123,11 +123,11 @@
 }
 
 // killDaemon kills a daemon and starts it again.
-func (s *soak) killDaemon(context.Context, time.Duration) {
+func (s *soak) killDaemon(ctx context.Context, _ time.Duration) {
 	p := s.daemon()
 	s.say("%s is killed", p.settings.Name)
 	p.stop(syscall.SIGKILL)
-	s.restart(p)
+	s.restart(ctx, p)
 }
 
 // stopDaemon stops a daemon and starts it again. Faults go on meanwhile.
@@ -139,12 +139,12 @@
 	sleep(ctx, time.Duration(s.random.Int64N(int64(faultEvery))))
 	s.check.fault()
 	p.stop(syscall.SIGTERM)
-	s.restart(p)
+	s.restart(ctx, p)
 }
 
 // restart starts a daemon again.
-func (s *soak) restart(p *process) {
-	if err := p.start(); err != nil {
+func (s *soak) restart(ctx context.Context, p *process) {
+	if err := p.start(ctx); err != nil {
 		s.check.violate("%s does not start: %v", p.settings.Name, err)
 	}
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -52,14 +51,14 @@
 }
 
 // start starts the process.
-func (p *process) start() error {
+func (p *process) start(ctx context.Context) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out, err := os.OpenFile(p.file("log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(p.binary, "edge", p.file("json")) // #nosec G204 -- the program under test
+	cmd := exec.CommandContext(context.WithoutCancel(ctx), p.binary, "edge", p.file("json")) // #nosec G204 -- the program under test
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return err
@@ -108,8 +107,7 @@
 
 // freeAddress returns an address on loopback that is free now.
 func freeAddress(ctx context.Context) (string, error) {
-	var c net.ListenConfig
-	l, err := c.Listen(ctx, "tcp", "127.0.0.1:0")
+	l, err := listen(ctx)
 	if err != nil {
 		return "", err
 	}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -30,6 +32,7 @@
 
 // proxy passes connections on to one address.
 type proxy struct {
+	ctx      context.Context
 	listener net.Listener
 	target   string
 
@@ -38,13 +41,19 @@
 	conns   map[net.Conn]struct{}
 }
 
+// listen listens on a free loopback address.
+func listen(ctx context.Context) (net.Listener, error) {
+	var c net.ListenConfig
+	return c.Listen(ctx, "tcp", "127.0.0.1:0")
+}
+
 // newProxy serves on a loopback address until close.
-func newProxy(target string) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func newProxy(ctx context.Context, target string) (*proxy, error) {
+	l, err := listen(ctx)
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, conns: map[net.Conn]struct{}{}}
+	p := &proxy{ctx: ctx, listener: l, target: target, conns: map[net.Conn]struct{}{}}
 	go p.accept()
 	return p, nil
 }
@@ -109,7 +118,8 @@
 
 // pass passes one connection on until either side ends.
 func (p *proxy) pass(c net.Conn) {
-	s, err := net.Dial("tcp", p.target)
+	var d net.Dialer
+	s, err := d.DialContext(p.ctx, "tcp", p.target)
 	if err != nil {
 		_ = c.Close()
 		return
@@ -144,7 +154,7 @@
 				break
 			}
 		}
-		if err == io.EOF && !dropped {
+		if errors.Is(err, io.EOF) && !dropped {
 			if t, ok := to.(*net.TCPConn); ok {
 				_ = t.CloseWrite()
 			}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"os"
 	"sync"
 	"syscall"
@@ -107,16 +106,16 @@
 
 // start starts the stand-ins and the fleet.
 func (s *soak) start(ctx context.Context) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listen(ctx)
 	if err != nil {
 		return err
 	}
 	s.store = stub.NewStore(l)
-	if s.link, err = newProxy(s.store.Address()); err != nil {
+	if s.link, err = newProxy(ctx, s.store.Address()); err != nil {
 		return err
 	}
 	for i := range s.o.Servers {
-		if err := s.addServer(i); err != nil {
+		if err := s.addServer(ctx, i); err != nil {
 			return err
 		}
 	}
@@ -136,7 +135,7 @@
 		if err != nil {
 			return err
 		}
-		if err := p.start(); err != nil {
+		if err := p.start(ctx); err != nil {
 			return err
 		}
 		s.fleet = append(s.fleet, p)
@@ -159,8 +158,8 @@
 }
 
 // addServer starts the n-th backend server. Every third one is an application.
-func (s *soak) addServer(n int) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func (s *soak) addServer(ctx context.Context, n int) error {
+	l, err := listen(ctx)
 	if err != nil {
 		return err
 	}
@@ -173,7 +172,7 @@
 		Zone: fmt.Sprintf("zone-%d", n%zones), Slots: 8,
 	})}
 	b.Events, b.Pace = engineEvents, serverPace
-	if b.link, err = newProxy(l.Addr().String()); err != nil {
+	if b.link, err = newProxy(ctx, l.Addr().String()); err != nil {
 		return err
 	}
 	b.listed = b.Instance()
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,46 @@
+package soak
+
+import (
+	"flag"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Flags of the soak in tests; a run by hand uses cmd/soak.
+var (
+	seed   = flag.Uint64("seed", 0, "seed of the faults; 0 runs the kept seeds")
+	length = flag.Duration("length", 6*time.Second, "time with faults")
+)
+
+// kept are seeds that are always run: the first one, and those that failed once,
+// each with its cause.
+var kept = []uint64{1}
+
+// Guards against a combination of faults under which a daemon breaks a promise.
+func TestSoak(t *testing.T) {
+	is := is.New(t)
+	binary := filepath.Join(t.TempDir(), "wigeonladder")
+	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../cmd/wigeonladder").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	seeds := kept
+	if *seed != 0 {
+		seeds = []uint64{*seed}
+	}
+	for _, s := range seeds {
+		r, err := Run(t.Context(), Options{
+			Binary: binary, Seed: s, Length: *length, Daemons: 3, Servers: 6, Callers: 12, Dir: t.TempDir(),
+		})
+		is.NoErr(err)
+		t.Logf("seed %d: %d calls, %d served, %d faults", s, r.Calls, r.Served, r.Faults)
+		is.True(r.Served > 0)
+		for _, v := range r.Violations {
+			t.Errorf("seed %d: %s", s, v)
+		}
+	}
+}
