--- a/backend/send.go
+++ b/backend/send.go
@@ -4,14 +4,12 @@
 	"context"
 	"errors"
 	"io"
-	"net"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sys/unix"
 
 	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/conn"
 )
 
 const (
@@ -21,10 +19,6 @@
 	// unackedWithin is how long sent bytes may stay unacknowledged before the
 	// connection counts as broken.
 	unackedWithin = 2 * time.Second
-	// probeAfter, probeEvery and probeCount find connections that went silent.
-	probeAfter = time.Second
-	probeEvery = time.Second
-	probeCount = 3
 	// relayIdle is how long an idle connection is kept if the server does not
 	// say; onceIdle is the same for calls that may not be repeated, because a
 	// server that closes the connection meanwhile leaves their outcome open.
@@ -94,25 +88,7 @@
 
 // NewRelay returns a relay without connections.
 func NewRelay(codec Codec) *Relay {
-	d := net.Dialer{
-		Timeout: connectWithin,
-		Control: failFast,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probeCount,
-		},
-	}
-	return &Relay{codec: codec, pool: newPool(d, relayIdle, relayMaxIdle)}
-}
-
-// failFast bounds the time for which a connection waits for acknowledgements.
-func failFast(_, _ string, c syscall.RawConn) error {
-	var err error
-	if e := c.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedWithin.Milliseconds())) // #nosec G115
-	}); e != nil {
-		return e
-	}
-	return err
+	return &Relay{codec: codec, pool: newPool(conn.NewDialer(connectWithin, unackedWithin), relayIdle, relayMaxIdle)}
 }
 
 // Close closes the idle connections.
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/wigeonladder/wigeonladder"
 	"github.com/wigeonladder/wigeonladder/backend"
+	"github.com/wigeonladder/wigeonladder/conn"
 	"github.com/wigeonladder/wigeonladder/exchange"
 	"github.com/wigeonladder/wigeonladder/fair"
 	"github.com/wigeonladder/wigeonladder/forward"
@@ -60,6 +61,19 @@
 	collectAt   = 300
 )
 
+const (
+	// dialWithin bounds the opening of a connection to the store or to another
+	// daemon, unackedWithin the wait for the acknowledgement of sent bytes.
+	dialWithin    = time.Second
+	unackedWithin = 1500 * time.Millisecond
+)
+
+// dial connects to the store or to another daemon.
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	d := conn.NewDialer(dialWithin, unackedWithin)
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // Platform is what an edge daemon needs of the platform.
 type Platform struct {
 	// Store reads the platform's store.
@@ -137,7 +151,7 @@
 	d.relay = backend.NewRelay(d.platform.Servers)
 	d.pool = place.NewPool(ctx, place.Options{Zone: s.Zone, Shares: d.counters, Window: d.window, Peers: d.daemons})
 	d.roster = inventory.NewRoster(d.pool, d.platform.ParseServer, d.journal)
-	peers, err := listen(ctx, s.Peer)
+	peers, err := conn.Listen(ctx, s.Peer)
 	if err != nil {
 		return errors.Wrap(err, "peer")
 	}
@@ -209,7 +223,7 @@
 			Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Period: time.Duration(s.Retry.Period),
 		}, d.daemons),
 	})
-	callers, err := listen(ctx, s.Front)
+	callers, err := conn.Listen(ctx, s.Front)
 	if err != nil {
 		return errors.Wrap(err, "front")
 	}
@@ -217,7 +231,7 @@
 		Listener: callers, Codec: d.platform.Callers, Handler: forwarder.Serve, Journal: d.journal,
 		Limits: front.Limits{Header: maxHeader, Body: maxBody, Read: readLimit, Idle: idleLimit, Write: writeLimit},
 	})
-	ready, err := listen(ctx, s.Ready)
+	ready, err := conn.Listen(ctx, s.Ready)
 	if err != nil {
 		return errors.Wrap(err, "ready")
 	}
--- a/edge/operator.go
+++ b/edge/operator.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/wigeonladder/wigeonladder/conn"
 	"github.com/wigeonladder/wigeonladder/place"
 )
 
@@ -54,7 +55,7 @@
 	if d.settings.Metrics == "" {
 		return nil
 	}
-	l, err := listen(ctx, d.settings.Metrics)
+	l, err := conn.Listen(ctx, d.settings.Metrics)
 	if err != nil {
 		return errors.Wrap(err, "metrics")
 	}
