forward, backend: idle connections within a backend server's bound; refusals tell when the share has room

The daemons share a backend server's connections, which thirty daemons with 64 idle ones each would exceed. The retry budget is now divided by all daemons that are known, so that both sides of a partition together stay within it.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -82,7 +82,10 @@
 }
 
 // put keeps a connection for reuse, or closes it.
-func (p *pool) put(address string, l *link, reuse bool) {
+func (p *pool) put(address string, l *link, reuse bool) { p.putMost(address, l, reuse, p.most) }
+
+// putMost implements put with another bound of the idle connections.
+func (p *pool) putMost(address string, l *link, reuse bool, most int) {
 	if !reuse || l.reader.Buffered() > 0 || l.SetDeadline(time.Time{}) != nil {
 		_ = l.Close()
 		return
@@ -90,7 +93,7 @@
 	l.idle = time.Now()
 	p.mu.Lock()
 	old := p.sweep(l.idle)
-	if p.closed || len(p.idle[address]) >= p.most {
+	if p.closed || len(p.idle[address]) >= most {
 		old = append(old, l)
 	} else {
 		p.idle[address] = append(p.idle[address], l)
--- a/backend/send.go
+++ b/backend/send.go
@@ -52,6 +52,8 @@
 	After string
 	// Once is true for a call that may not be repeated.
 	Once bool
+	// MaxIdle bounds the idle connections to the server; 0 for the usual bound.
+	MaxIdle int
 	// Check is called at the last step before the first byte.
 	Check func() error
 }
@@ -119,6 +121,7 @@
 	events  *eventReader
 	written chan error
 	whole   bool
+	maxIdle int
 }
 
 // Send sends a call and reads the head of its answer. The error tells by its
@@ -133,7 +136,10 @@
 		r.pool.put(l.address, l, true)
 		return nil, asError(err)
 	}
-	p := &Response{relay: r, x: newExchange(ctx, l), ctx: ctx, place: name}
+	p := &Response{relay: r, x: newExchange(ctx, l), ctx: ctx, place: name, maxIdle: relayMaxIdle}
+	if s.MaxIdle > 0 {
+		p.maxIdle = min(s.MaxIdle, relayMaxIdle)
+	}
 	if err := p.write(s); err != nil {
 		p.Close()
 		if p.x.written == 0 {
@@ -262,7 +268,7 @@
 		_ = p.x.link.Close()
 		return
 	}
-	p.relay.pool.put(p.x.link.address, p.x.link, true)
+	p.relay.pool.putMost(p.x.link.address, p.x.link, true, p.maxIdle)
 }
 
 // isWritten reports whether the whole request was written.
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -175,6 +175,10 @@
 	return d.mesh.Alive()
 }
 
+// sharers is the number of daemons that may use what all share: also those that
+// are known and cannot be reached now, which may be at work behind a partition.
+func (d *Daemon) sharers() int { return max(d.daemons(), len(d.mesh.Members())+1) }
+
 // follow follows the store. One watch of all items takes fewer calls than one for
 // each kind.
 func (d *Daemon) follow(ctx context.Context) {
@@ -221,7 +225,8 @@
 		Book: d.book, Pool: d.pool, Sender: d.relay, Suspects: d.suspects, Journal: d.journal, Meter: d.meter,
 		Budget: retry.NewWindow(retry.Allowance{
 			Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Period: time.Duration(s.Retry.Period),
-		}, d.daemons),
+		}, d.sharers),
+		Daemons: d.sharers,
 	})
 	callers, err := conn.Listen(ctx, s.Front)
 	if err != nil {
--- a/edge/operator.go
+++ b/edge/operator.go
@@ -64,6 +64,8 @@
 	vars.Set("events", d.journal.Counts())
 	vars.Set("open", expvar.Func(func() any { return d.front.Open() }))
 	vars.Set("daemons", expvar.Func(func() any { return d.daemons() }))
+	vars.Set("reportsSent", expvar.Func(func() any { n, _ := d.mesh.Sent(); return n }))
+	vars.Set("reportBytesSent", expvar.Func(func() any { _, n := d.mesh.Sent(); return n }))
 	vars.Set("ready", expvar.Func(func() any { return d.Ready() }))
 	s := &fasthttp.Server{
 		NoDefaultServerHeader: true,
--- a/exchange/mesh.go
+++ b/exchange/mesh.go
@@ -60,6 +60,8 @@
 	mu    sync.Mutex
 	peers map[string]*peer
 	heard map[string]time.Time
+	// reports and bytes are what was sent.
+	reports, bytes int64
 }
 
 // New starts a mesh. It ends with the context.
@@ -96,6 +98,13 @@
 	return l
 }
 
+// Sent returns the number of reports that were sent, and their bytes.
+func (m *Mesh) Sent() (reports, bytes int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reports, m.bytes
+}
+
 // learn starts to dial a daemon that was not known.
 func (m *Mesh) learn(address string) {
 	if address == "" || address == m.o.Self.Address {
@@ -221,6 +230,8 @@
 	for _, p := range m.peers {
 		select {
 		case p.out <- data:
+			m.reports++
+			m.bytes += int64(len(data))
 		default:
 		}
 	}
--- a/fair/window.go
+++ b/fair/window.go
@@ -178,6 +178,27 @@
 	return Beyond
 }
 
+// Wait returns the time in which a workspace that is refused now is expected to
+// have room again.
+func (w *Window) Wait(workspace string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.refresh(now)
+	r := w.rows[workspace]
+	if r == nil || w.level <= 0 {
+		return 0
+	}
+	got, room := r.got.sum(w.step(now)), w.level
+	if w.hasLeast {
+		room = lead * max(w.least, w.level)
+	}
+	if got <= room {
+		return 0
+	}
+	return time.Duration((got - room) / got * float64(windowStep*windowSteps))
+}
+
 // row returns the row of a workspace; nil if there are too many.
 func (w *Window) row(workspace string) *windowRow {
 	r := w.rows[workspace]
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -18,6 +18,9 @@
 	// extraSends is the number of sendings beyond the attempts of a route that
 	// a call gets after backend servers that did not run it.
 	extraSends = 2
+	// idleShare is the part of a backend server's connections that all daemons
+	// together keep idle.
+	idleShare = 0.5
 	// defaultTimeout bounds a call without any time limit.
 	defaultTimeout = 30 * time.Second
 )
@@ -39,6 +42,9 @@
 	Journal  wigeonladder.Journal
 	// Meter counts the outcomes of calls; nil for none.
 	Meter Meter
+	// Daemons returns the number of daemons that share the connections of a
+	// backend server; nil for one.
+	Daemons func() int
 }
 
 // Meter takes the figures of ended calls.
@@ -173,7 +179,8 @@
 	resp, err := r.f.o.Sender.Send(ctx, backend.Sending{
 		Call: r.call, Instance: lease.Instance, Workspace: r.match.Workspace,
 		Left: time.Until(r.deadline), After: r.last, Once: !r.match.Route.Repeatable(),
-		Check: func() error { return r.check(ctx, lease.Instance) },
+		MaxIdle: r.maxIdle(),
+		Check:   func() error { return r.check(ctx, lease.Instance) },
 	})
 	if err != nil {
 		result = resultOf(ctx, err)
@@ -189,6 +196,19 @@
 	return nil
 }
 
+// maxIdle is this daemon's part of the idle connections to one backend server; 0 if
+// the service has no bound.
+func (r *run) maxIdle() int {
+	most := float64(r.match.Service.MaxConns) * idleShare
+	if most == 0 {
+		return 0
+	}
+	if r.f.o.Daemons != nil {
+		most /= float64(max(r.f.o.Daemons(), 1))
+	}
+	return max(int(most), 1)
+}
+
 // check is the last step before a call is sent.
 func (r *run) check(ctx context.Context, i wigeonladder.Instance) error {
 	if ctx.Err() != nil {
--- a/place/choose.go
+++ b/place/choose.go
@@ -292,7 +292,7 @@
 		return wigeonladder.Errorf(wigeonladder.CodeNoServer, g.name, "none of %d backend servers takes calls", len(g.servers)).WithWait(backMin)
 	}
 	if g.waiting >= maxWaiting || !now.Before(p.patience(g, j)) {
-		return wigeonladder.Errorf(wigeonladder.CodeOverload, g.name, "%d calls wait", g.waiting).WithWait(p.comeBack(g))
+		return wigeonladder.Errorf(wigeonladder.CodeOverload, g.name, "%d calls wait", g.waiting).WithWait(p.comeBack(g, j))
 	}
 	return nil
 }
@@ -312,8 +312,13 @@
 	return j.Arrived.Add(time.Duration(float64(j.Deadline.Sub(j.Arrived)) * waitShare))
 }
 
-// comeBack is the time in which what waits now is expected to be read.
-func (p *Pool) comeBack(g *group) time.Duration {
+// comeBack is the time in which what waits now is expected to be read, or in which
+// the workspace has room in its share, if that is later.
+func (p *Pool) comeBack(g *group, j *Job) time.Duration {
+	share := time.Duration(0)
+	if p.counts(g, j) {
+		share = p.o.Window.Wait(j.Workspace)
+	}
 	servers := 0
 	for _, s := range g.servers {
 		if s.open(time.Now()) {
@@ -324,7 +329,7 @@
 		return backMax
 	}
 	t := time.Duration(readTime(g.tokens*p.o.Peers()) / float64(servers))
-	return min(max(t, backMin), backMax)
+	return min(max(t, share, backMin), backMax)
 }
 
 // sweep looks for servers that are silent for too long and places waiting jobs.
--- a/place/pool.go
+++ b/place/pool.go
@@ -224,7 +224,7 @@
 	}
 	p.restrain(g, j)
 	return nil, wigeonladder.Errorf(wigeonladder.CodeOverload, j.Service, "no room after %v; %d calls wait; the workspace is %v its share", time.Since(j.Arrived).Round(time.Millisecond), g.waiting, p.standing(g, j)).
-		WithWait(p.comeBack(g))
+		WithWait(p.comeBack(g, j))
 }
 
 // Begin marks the lease as sent.
