--- a/place/pool_test.go
+++ b/place/pool_test.go
@@ -225,13 +225,12 @@
 	bubble(t, 1, func(t *testing.T, r *rig) {
 		is := is.New(t)
 		r.window.SetCapacity(1000)
-		l := r.acquire(t, r.job("w", "s"))
-		l.First()
-		j := r.job("w", "other")
-		r.acquire(t, j)
-		for range 3 {
-			r.window.Got("w", 100000)
+		for i := range 2 {
+			r.acquire(t, r.job("v", fmt.Sprintf("busy-%d", i)))
 		}
+		r.window.Asked("w", 300000)
+		r.window.Got("w", 300000)
+		time.Sleep(100 * time.Millisecond)
 		began := time.Now()
 		_, err := r.Acquire(t.Context(), r.job("w", "third"))
 		is.True(err != nil)
