--- a/place/choose.go
+++ b/place/choose.go
@@ -2,11 +2,8 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/wigeonladder/wigeonladder"
 	"github.com/wigeonladder/wigeonladder/fair"
 )
@@ -27,6 +24,10 @@
 	// displaceWeight is how much a shared token that has to be read counts
 	// beyond its reading: a second copy displaces other parts.
 	displaceWeight = 2.0
+	// drainPeriod is the least time between two searches for jobs to place,
+	// movePeriod the same for a better server for one job.
+	drainPeriod = 4 * time.Millisecond
+	movePeriod  = 100 * time.Millisecond
 	// lookAhead is the number of calls of one workspace that are looked at for
 	// one that can be placed.
 	lookAhead = 8
@@ -84,7 +85,6 @@
 	}
 	var home *server
 	var top uint64
-	key := strconv.FormatUint(subject, 16)
 	for _, s := range g.order {
 		if !s.open(now) || j.Avoid[s.instance.ID] {
 			continue
@@ -92,17 +92,24 @@
 		if _, held := s.cache.parts[subject]; held {
 			return nil
 		}
-		if h := xxhash.Sum64String(key + s.instance.ID); home == nil || h > top {
+		if h := mix(subject ^ s.hash); home == nil || h > top {
 			home, top = s, h
 		}
 	}
 	return home
 }
 
+// mix spreads the bits of a number: the finalizer of SplitMix64.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // rate returns the option that a server is for a job.
 func (p *Pool) rate(s *server, j *Job, home *server, now time.Time) option {
 	missing, shared := s.missing(j)
-	o := option{server: s, missing: missing, wait: s.wait(now)}
+	o := option{server: s, missing: missing, wait: s.wait()}
 	queued := s.queued
 	if j.at == s {
 		queued -= j.queued
@@ -125,9 +132,8 @@
 
 // hasRoom reports whether a server may be sent a job now. A workspace that got
 // its share gets only what the server has to spare.
-func (p *Pool) hasRoom(g *group, o *option, j *Job, now time.Time) bool {
-	s := o.server
-	l := s.total(now)
+func (p *Pool) hasRoom(g *group, s *server, wait time.Duration, j *Job) bool {
+	l := s.total()
 	if s.engine == nil {
 		return l.running < s.slots()+spareCalls
 	}
@@ -149,7 +155,7 @@
 	case fair.Within:
 	}
 	need := j.Prompt.Tokens + j.Prompt.MaxOutput
-	return l.running < slots && o.wait < hold &&
+	return l.running < slots && wait < hold &&
 		float64(l.memory+need) <= memoryShare*float64(s.engine.CacheTokens)
 }
 
@@ -214,9 +220,15 @@
 }
 
 // drain places waiting jobs while there is room, in the order of received
-// service: first those of workspaces that got less than their share.
+// service: first those of workspaces that got less than their share. It does so at
+// most once in drainPeriod, since it looks at many jobs; sweep makes up for the
+// rest.
 func (p *Pool) drain(g *group) {
 	now := time.Now()
+	if g.waiting == 0 || now.Sub(g.drained) < drainPeriod {
+		return
+	}
+	g.drained = now
 	for most := fair.Within; most <= fair.Ahead; most++ {
 		for g.waiting > 0 && p.placeNext(g, now, most) {
 		}
@@ -262,10 +274,12 @@
 	var late *Job
 	var lateAt *option
 	for _, j := range q[:min(len(q), lookAhead)] {
-		o := p.spot(g, j, now)
-		if o == nil || !p.hasRoom(g, o, j, now) {
+		p.move(g, j, now)
+		if !j.at.open(now) || !p.hasRoom(g, j.at, j.at.wait(), j) {
 			continue
 		}
+		r := p.rate(j.at, j, nil, now)
+		o := &r
 		if !j.late(now, o.first) {
 			return j, o
 		}
@@ -276,14 +290,21 @@
 	return late, lateAt
 }
 
-// spot returns where a waiting job may go: to the server for which it waits, or,
-// once it has waited for long or that server takes no calls, to the best one.
-func (p *Pool) spot(g *group, j *Job, now time.Time) *option {
-	if j.at.open(now) && g.servers[j.at.instance.ID] == j.at && now.Sub(j.Arrived) < j.Target/2 {
-		o := p.rate(j.at, j, nil, now)
-		return &o
-	}
-	return p.choose(g, j, now)
+// move has a waiting job wait for the best server if it has waited for long, or if
+// its server takes no calls. It looks for one at most once in movePeriod.
+func (p *Pool) move(g *group, j *Job, now time.Time) {
+	sound := j.at.open(now) && g.servers[j.at.instance.ID] == j.at
+	if sound && now.Sub(j.Arrived) < j.Target/2 || now.Sub(j.moved) < movePeriod {
+		return
+	}
+	j.moved = now
+	best := p.choose(g, j, now)
+	if best == nil || best.server == j.at {
+		return
+	}
+	j.at.queued -= j.queued
+	j.at, j.queued = best.server, best.missing
+	j.at.queued += j.queued
 }
 
 // refusal returns the error of a job that need not wait, nil if it may.
@@ -338,7 +359,8 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	for _, g := range p.services {
-		for _, s := range g.servers {
+		for _, s := range g.order {
+			s.expire(now)
 			for l := range s.leases {
 				if !l.first && !l.silent && now.Sub(l.sent) > l.Expected+silenceTime {
 					l.silent = true
--- a/place/dump.go
+++ b/place/dump.go
@@ -35,7 +35,7 @@
 	var rows []ServerRow
 	for _, g := range p.services {
 		for _, s := range g.servers {
-			l := s.total(now)
+			l := s.total()
 			r := ServerRow{
 				Service: g.name, Server: s.instance.ID, Zone: s.instance.Zone, Leaving: s.instance.Leaving,
 				Running: s.own.running, Total: l.running, Unread: l.unread, Pace: s.pace,
--- a/place/job.go
+++ b/place/job.go
@@ -27,6 +27,8 @@
 	// at is the server for which the job waits, queued what it adds there.
 	at     *server
 	queued int
+	// moved is when a better server was looked for last.
+	moved time.Time
 }
 
 // late reports whether the answer can no longer come in time if the server
--- a/place/pool.go
+++ b/place/pool.go
@@ -45,6 +45,8 @@
 	order   []*server
 	queues  map[string][]*Job
 	waiting int
+	// drained is when waiting jobs were looked at last.
+	drained time.Time
 	// tokens is the number of prompt tokens that wait.
 	tokens int
 }
@@ -72,7 +74,7 @@
 }
 
 // sweepPeriod is how often waiting jobs are looked at without an event.
-const sweepPeriod = 25 * time.Millisecond
+const sweepPeriod = 20 * time.Millisecond
 
 // group returns a service and creates it at need.
 func (p *Pool) group(name string) *group {
@@ -159,7 +161,7 @@
 		p.o.Window.Asked(j.Workspace, j.Prompt.Cost())
 	}
 	best := p.choose(g, j, now)
-	if best != nil && best.server.queued == 0 && p.hasRoom(g, best, j, now) {
+	if best != nil && best.server.queued == 0 && p.hasRoom(g, best.server, best.wait, j) {
 		l := p.lease(g, j, best, now)
 		p.mu.Unlock()
 		return l, nil
--- a/place/report.go
+++ b/place/report.go
@@ -64,18 +64,13 @@
 	}
 	for _, g := range p.services {
 		for id, s := range g.servers {
-			l, ok := loads[id]
-			if !ok {
-				delete(s.remote, from)
-				continue
-			}
-			s.remote[from] = remoteLoad{load{max(l.Running, 0), max(l.Unread, 0), max(l.Memory, 0)}, now}
+			l := loads[id]
+			s.setRemote(from, load{max(l.Running, 0), max(l.Unread, 0), max(l.Memory, 0)}, now)
 		}
 		for _, x := range r.Sent {
 			if s := g.servers[x.Server]; s != nil && s.cache != nil {
 				s.cache.use(x.Part, max(x.Tokens, 0))
 			}
 		}
-		p.drain(g)
 	}
 }
--- a/place/server.go
+++ b/place/server.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wigeonladder/wigeonladder"
 	"github.com/wigeonladder/wigeonladder/route"
 )
@@ -49,8 +51,12 @@
 	instance wigeonladder.Instance
 	engine   *route.Engine
 	own      load
-	remote   map[string]remoteLoad
-	cache    *cache
+	// remote are the loads of other daemons by name, others is their sum.
+	remote map[string]remoteLoad
+	others load
+	// hash is that of the name.
+	hash  uint64
+	cache *cache
 	// pace is the ratio of observed to expected times to the first token.
 	pace float64
 	// fault is the recent share of failures, as of faultAt.
@@ -82,6 +88,11 @@
 	return load{l.running + o.running, l.unread + o.unread, l.memory + o.memory}
 }
 
+// sub returns the difference of two loads.
+func (l load) sub(o load) load {
+	return load{l.running - o.running, l.unread - o.unread, l.memory - o.memory}
+}
+
 // remoteLoad is the load of another daemon as it reported it.
 type remoteLoad struct {
 	load
@@ -90,7 +101,10 @@
 
 // newServer returns a server without load.
 func newServer(i wigeonladder.Instance, e *route.Engine) *server {
-	s := &server{instance: i, remote: map[string]remoteLoad{}, pace: 1, leases: map[*Lease]struct{}{}}
+	s := &server{
+		instance: i, remote: map[string]remoteLoad{}, pace: 1, leases: map[*Lease]struct{}{},
+		hash: xxhash.Sum64String(i.ID),
+	}
 	s.setEngine(e)
 	return s
 }
@@ -104,14 +118,25 @@
 }
 
 // total is the load of all daemons.
-func (s *server) total(now time.Time) load {
-	l := s.own
-	for _, r := range s.remote {
-		if now.Sub(r.at) < remoteKeep {
-			l = l.add(r.load)
+func (s *server) total() load { return s.own.add(s.others) }
+
+// setRemote takes over the load that another daemon reports.
+func (s *server) setRemote(from string, l load, now time.Time) {
+	s.others = s.others.sub(s.remote[from].load).add(l)
+	if l == (load{}) {
+		delete(s.remote, from)
+		return
+	}
+	s.remote[from] = remoteLoad{l, now}
+}
+
+// expire drops the loads of daemons that have not reported for long.
+func (s *server) expire(now time.Time) {
+	for from, r := range s.remote {
+		if now.Sub(r.at) >= remoteKeep {
+			s.setRemote(from, load{}, now)
 		}
 	}
-	return l
 }
 
 // slots is the number of requests that the server runs at once.
@@ -134,8 +159,8 @@
 }
 
 // wait is the expected time until the server has read what it was sent before.
-func (s *server) wait(now time.Time) time.Duration {
-	l := s.total(now)
+func (s *server) wait() time.Duration {
+	l := s.total()
 	if s.engine == nil {
 		return time.Duration(float64(l.running) * float64(callTime) * s.pace)
 	}
