--- a/place/choose.go
+++ b/place/choose.go
@@ -29,8 +29,9 @@
 	drainPeriod = 4 * time.Millisecond
 	movePeriod  = 100 * time.Millisecond
 	// lookAhead is the number of calls of one workspace that are looked at for
-	// one that can be placed.
-	lookAhead = 8
+	// one that can be placed. With 8, a workspace whose calls came to one daemon
+	// got a third of its share, because the first 8 waited for busy servers.
+	lookAhead = 256
 	// homeTime is the preference for the home of a subject that no server is
 	// known to hold, so that all daemons send it to the same one.
 	homeTime = 60 * time.Millisecond
@@ -41,8 +42,11 @@
 	// silenceTime is how much longer than expected the first token may take
 	// before the server counts as failing.
 	silenceTime = time.Second
-	// waitShare is the part of a call's time for which it waits for room.
-	waitShare = 0.4
+	// waitShare is the part of a call's time for which it waits for room, and
+	// waitTargets the same as a multiple of the target time: callers give up on
+	// a stream that has not begun after a few times its target.
+	waitShare   = 0.4
+	waitTargets = 2
 	// maxWaiting bounds the calls that wait for one service.
 	maxWaiting = 2000
 	// backMin and backMax bound the time after which a refused call is told to
@@ -132,12 +136,11 @@
 
 // hasRoom reports whether a server may be sent a job now. A workspace that got
 // its share gets only what the server has to spare.
-func (p *Pool) hasRoom(g *group, s *server, wait time.Duration, j *Job) bool {
+func (p *Pool) hasRoom(g *group, s *server, wait time.Duration, j *Job, standing fair.Standing) bool {
 	l := s.total()
 	if s.engine == nil {
 		return l.running < s.slots()+spareCalls
 	}
-	standing := p.standing(g, j)
 	if l.running == 0 && standing != fair.Barred {
 		return true
 	}
@@ -242,10 +245,14 @@
 	var at *option
 	accept := func(workspace string) bool {
 		q := g.queues[workspace]
-		if len(q) == 0 || p.standing(g, q[0]) > most {
+		if len(q) == 0 {
 			return false
 		}
-		chosen, at = p.next(g, q, now)
+		standing := p.standing(g, q[0])
+		if standing > most {
+			return false
+		}
+		chosen, at = p.next(g, q, standing, now)
 		return chosen != nil
 	}
 	if p.o.Shares == nil {
@@ -270,12 +277,12 @@
 
 // next returns the job of a queue that is placed next, and where: the first one
 // whose answer can still come in time, otherwise the first one with room.
-func (p *Pool) next(g *group, q []*Job, now time.Time) (*Job, *option) {
+func (p *Pool) next(g *group, q []*Job, standing fair.Standing, now time.Time) (*Job, *option) {
 	var late *Job
 	var lateAt *option
 	for _, j := range q[:min(len(q), lookAhead)] {
 		p.move(g, j, now)
-		if !j.at.open(now) || !p.hasRoom(g, j.at, j.at.wait(), j) {
+		if !j.at.open(now) || !p.hasRoom(g, j.at, j.at.wait(), j, standing) {
 			continue
 		}
 		r := p.rate(j.at, j, nil, now)
@@ -312,7 +319,9 @@
 	if best == nil {
 		return wigeonladder.Errorf(wigeonladder.CodeNoServer, g.name, "none of %d backend servers takes calls", len(g.servers)).WithWait(backMin)
 	}
-	if g.waiting >= maxWaiting || !now.Before(p.patience(g, j)) {
+	// What waits here for the best server is read before this job.
+	ahead := best.wait + time.Duration(readTime(best.server.queued)*best.server.pace)
+	if g.waiting >= maxWaiting || !now.Add(ahead).Before(p.patience(g, j)) {
 		return wigeonladder.Errorf(wigeonladder.CodeOverload, g.name, "%d calls wait", g.waiting).WithWait(p.comeBack(g, j))
 	}
 	return nil
@@ -321,16 +330,18 @@
 // patience is until when a job waits for room. A workspace that got its share is
 // told soon that there is no more.
 func (p *Pool) patience(g *group, j *Job) time.Time {
+	most := time.Duration(float64(j.Deadline.Sub(j.Arrived)) * waitShare)
 	if j.Target > 0 {
 		switch p.standing(g, j) {
 		case fair.Beyond:
-			return j.Arrived.Add(j.Target / beyondWaitPart)
+			most = j.Target / beyondWaitPart
 		case fair.Ahead, fair.Barred:
-			return j.Arrived.Add(j.Target / aheadWaitPart)
+			most = j.Target / aheadWaitPart
 		case fair.Within:
+			most = min(most, j.Target*waitTargets)
 		}
 	}
-	return j.Arrived.Add(time.Duration(float64(j.Deadline.Sub(j.Arrived)) * waitShare))
+	return j.Arrived.Add(most)
 }
 
 // comeBack is the time in which what waits now is expected to be read, or in which
--- a/place/pool.go
+++ b/place/pool.go
@@ -161,7 +161,7 @@
 		p.o.Window.Asked(j.Workspace, j.Prompt.Cost())
 	}
 	best := p.choose(g, j, now)
-	if best != nil && best.server.queued == 0 && p.hasRoom(g, best.server, best.wait, j) {
+	if best != nil && best.server.queued == 0 && p.hasRoom(g, best.server, best.wait, j, p.standing(g, j)) {
 		l := p.lease(g, j, best, now)
 		p.mu.Unlock()
 		return l, nil
