--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -48,6 +48,10 @@
 	readLimit  = 20 * time.Second
 	idleLimit  = 60 * time.Second
 	writeLimit = 10 * time.Second
+	// connsPart is the part of the descriptors, as a divisor, that connections
+	// of callers may take before idle ones are closed. Each call that runs takes
+	// another one.
+	connsPart = 3
 	// drainLead is how long a stopping daemon serves on at least, so that the
 	// load balancer has taken it out: it asks once a second and takes two
 	// misses.
@@ -234,7 +238,7 @@
 	}
 	d.front = front.NewServer(ctx, front.Options{
 		Listener: callers, Codec: d.platform.Callers, Handler: forwarder.Serve, Journal: d.journal,
-		Limits: front.Limits{Header: maxHeader, Body: maxBody, Read: readLimit, Idle: idleLimit, Write: writeLimit},
+		Limits: front.Limits{Header: maxHeader, Body: maxBody, Read: readLimit, Idle: idleLimit, Write: writeLimit, Conns: s.Files / connsPart},
 	})
 	ready, err := conn.Listen(ctx, s.Ready)
 	if err != nil {
--- a/edge/fault_test.go
+++ b/edge/fault_test.go
@@ -183,3 +183,18 @@
 	is.True(runs > calls)
 	is.True(runs <= calls+10)
 }
+
+// Guards against refused callers that hold all descriptors of a daemon: a call that
+// did not run comes again on another connection.
+func TestRefusalsEndTheirConnections(t *testing.T) {
+	r := newRig(t)
+	r.setFault(stub.Busy)
+	is := is.New(t)
+	reply := r.do(r.call("/once/x"))
+	is.Equal(reply.Status, 503)
+	is.True(reply.Close)
+	r.setFault(stub.None)
+	reply = r.do(r.call("/once/x"))
+	is.Equal(reply.Status, 200)
+	is.True(!reply.Close)
+}
--- a/edge/rig_test.go
+++ b/edge/rig_test.go
@@ -33,7 +33,7 @@
 
 // rig is a store, backend servers of two services, and daemons on loopback.
 type rig struct {
-	t       *testing.T
+	t       testing.TB
 	store   *stub.Store
 	apps    []*stub.Server
 	models  []*stub.Server
@@ -68,7 +68,7 @@
 }
 
 // newRig starts a rig; it ends with the test.
-func newRig(t *testing.T, options ...option) *rig {
+func newRig(t testing.TB, options ...option) *rig {
 	t.Helper()
 	s := setup{daemons: 1, apps: 2, models: 2, settings: setting.DefaultEdge()}
 	s.settings.Retry.Slack = 1000
@@ -154,7 +154,7 @@
 }
 
 // listen returns a listener on loopback.
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
@@ -162,7 +162,7 @@
 }
 
 // address returns a free address on loopback.
-func address(t *testing.T) string {
+func address(t testing.TB) string {
 	t.Helper()
 	l := listen(t)
 	defer l.Close()
@@ -224,7 +224,7 @@
 }
 
 // wantWhole asserts the whole answer to a call of a plain service.
-func wantWhole(t *testing.T, c stub.Call, r stub.Reply) {
+func wantWhole(t testing.TB, c stub.Call, r stub.Reply) {
 	t.Helper()
 	is := is.New(t)
 	is.Equal(r.Status, 200)
@@ -236,7 +236,7 @@
 
 // wantStream asserts a whole stream that began at one server and may have gone on
 // at another.
-func wantStream(t *testing.T, c stub.Call, r stub.Reply, events int) {
+func wantStream(t testing.TB, c stub.Call, r stub.Reply, events int) {
 	t.Helper()
 	is := is.New(t)
 	var want strings.Builder
--- a/front/reply.go
+++ b/front/reply.go
@@ -31,8 +31,13 @@
 	return nil
 }
 
-// Refuse implements wigeonladder.Reply.
+// Refuse implements wigeonladder.Reply. A call that did not run comes again on
+// another connection, so that this one ends: under a flood, refused callers would
+// otherwise hold all descriptors.
 func (r *reply) Refuse(e *wigeonladder.Error) {
+	if e.Code.Fact().Status == fasthttp.StatusServiceUnavailable {
+		r.ctx.SetConnectionClose()
+	}
 	r.server.o.Codec.Refuse(&r.ctx.Response, r.call, e)
 }
 
--- a/front/server.go
+++ b/front/server.go
@@ -20,6 +20,9 @@
 	// Read bounds the reading of one call, Idle the time between two calls,
 	// Write one write of an answer.
 	Read, Idle, Write time.Duration
+	// Conns is the number of connections from which idle ones are closed; 0 for
+	// no bound.
+	Conns int
 }
 
 // maxConnections is above what a process can open, so that fasthttp's own
@@ -83,6 +86,9 @@
 		Logger:                       serverLog{o.Journal},
 		ConnState:                    ended,
 	}
+	if o.Limits.Conns > 0 {
+		s.served.Go(s.relieve)
+	}
 	s.served.Go(func() {
 		if err := s.http.Serve(s.listener); err != nil && s.ctx.Err() == nil {
 			o.Journal.Note("", "front_stopped", "error", err)
--- a/front/shutdown.go
+++ b/front/shutdown.go
@@ -37,6 +37,31 @@
 	return nil
 }
 
+const (
+	// reliefPeriod is how often the number of connections is looked at.
+	reliefPeriod = 250 * time.Millisecond
+	// reliefIdle is the idle time from which connections are closed when there
+	// are too many.
+	reliefIdle = time.Second
+)
+
+// relieve closes idle connections while there are too many, until the server ends.
+func (s *Server) relieve() {
+	t := time.NewTicker(reliefPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-t.C:
+		}
+		if n := s.listener.Open(); n > s.o.Limits.Conns {
+			s.o.Journal.Note("", "connections_relieved", "open", n, "most", s.o.Limits.Conns)
+			s.listener.Dismiss(reliefIdle, nil)
+		}
+	}
+}
+
 // close ends the listener, the open calls and all connections.
 func (s *Server) close() {
 	_ = s.o.Listener.Close()
--- /dev/null
+++ b/place/bench_test.go
@@ -0,0 +1,44 @@
+package place
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkAcquire measures a placement among as many servers as the grown site
+// has, and a refusal of a workspace that got its share.
+func BenchmarkAcquire(b *testing.B) {
+	for _, servers := range []int{9, 90, 900} {
+		b.Run(fmt.Sprintf("placed/%d", servers), func(b *testing.B) {
+			r := newRig(b.Context(), "zone-a", servers)
+			for i := 0; b.Loop(); i++ {
+				l, err := r.Acquire(b.Context(), r.job("w", fmt.Sprintf("s%d", i%200)))
+				if err != nil {
+					b.Fatal(err)
+				}
+				l.First()
+				l.End(Done)
+			}
+		})
+		b.Run(fmt.Sprintf("refused/%d", servers), func(b *testing.B) {
+			r := newRig(b.Context(), "zone-a", servers)
+			r.window.SetCapacity(1000)
+			for i := range servers * 2 {
+				ctx, cancel := context.WithTimeout(b.Context(), time.Second)
+				_, _ = r.Acquire(ctx, r.job(fmt.Sprintf("v%d", i%30), fmt.Sprintf("s%d", i)))
+				cancel()
+			}
+			r.window.Asked("w", 1<<30)
+			r.window.Got("w", 1<<30)
+			for i := 0; b.Loop(); i++ {
+				j := r.job("w", fmt.Sprintf("s%d", i%200))
+				j.Arrived = j.Arrived.Add(-time.Second)
+				if _, err := r.Acquire(b.Context(), j); err == nil {
+					b.Fatal("not refused")
+				}
+			}
+		})
+	}
+}
--- a/setting/edge.go
+++ b/setting/edge.go
@@ -21,6 +21,8 @@
 	Seeds []string `json:"seeds,omitempty"`
 	// Memory is what the process may use, in megabytes.
 	Memory int `json:"memory"`
+	// Files is the number of descriptors that the process may open.
+	Files int `json:"files"`
 	// Grace is the time between the request to stop and the end of the process.
 	Grace Duration `json:"grace"`
 	// KeyTrust is how long an API key is accepted after it was withdrawn, at the
@@ -44,6 +46,7 @@
 func DefaultEdge() Edge {
 	return Edge{
 		Memory: 256,
+		Files:  4096,
 		Grace:  Duration(8 * time.Second),
 		Retry:  Retry{Ratio: 0.1, Slack: 10, Period: Duration(10 * time.Second)},
 	}
