--- a/backend/send.go
+++ b/backend/send.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	// connectWithin bounds the opening of a connection. It covers one lost
-	// opening packet of a server in another zone.
-	connectWithin = 1200 * time.Millisecond
+	// connectWithin bounds the opening of a connection. Nothing was sent then,
+	// so that the call goes on at another server, which is sooner than the
+	// second try of a lost opening packet.
+	connectWithin = 300 * time.Millisecond
 	// unackedWithin is how long sent bytes may stay unacknowledged before the
 	// connection counts as broken.
 	unackedWithin = 2 * time.Second
--- a/place/choose.go
+++ b/place/choose.go
@@ -39,9 +39,11 @@
 	zoneTime = 4 * time.Millisecond
 	// spareCalls is how many calls more than it has slots a plain server gets.
 	spareCalls = 2
-	// silenceTime is how much longer than expected the first token may take
-	// before the server counts as failing.
-	silenceTime = time.Second
+	// silenceMin and silenceMax bound how much longer than expected the first
+	// byte may take before the server counts as failing; between them it is the
+	// target time of the call.
+	silenceMin = 150 * time.Millisecond
+	silenceMax = time.Second
 	// waitShare is the part of a call's time for which it waits for room, and
 	// waitTargets the same as a multiple of the target time: callers give up on
 	// a stream that has not begun after a few times its target.
@@ -373,7 +375,7 @@
 		for _, s := range g.order {
 			s.expire(now)
 			for l := range s.leases {
-				if !l.first && !l.silent && now.Sub(l.sent) > l.Expected+silenceTime {
+				if !l.first && !l.silent && now.Sub(l.sent) > l.Expected+min(max(l.job.Target, silenceMin), silenceMax) {
 					l.silent = true
 					s.record(true, now)
 				}
--- a/place/pool_test.go
+++ b/place/pool_test.go
@@ -350,3 +350,28 @@
 		}
 	})
 }
+
+// Guards against a silent server that goes on to get calls: it counts as failing
+// once a first byte is late by the call's target time.
+func TestSilentServerGetsLess(t *testing.T) {
+	bubble(t, 0, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		for _, id := range []string{"a", "b"} {
+			r.Put(wigeonladder.Instance{ID: id, Service: "app", Zone: "zone-a", Slots: 6})
+		}
+		job := func() *Job {
+			j := r.job("w", "")
+			j.Service, j.Prompt, j.Target = "app", wigeonladder.Prompt{}, 100*time.Millisecond
+			return j
+		}
+		silent := r.acquire(t, job())
+		time.Sleep(300 * time.Millisecond)
+		for range 4 {
+			l := r.acquire(t, job())
+			is.True(l.Instance.ID != silent.Instance.ID)
+			l.First()
+			l.End(Done)
+		}
+		silent.End(Left)
+	})
+}
--- a/place/server.go
+++ b/place/server.go
@@ -36,7 +36,7 @@
 	faultTime = 1500 * time.Millisecond
 	// blockMin and blockMax bound the time for which a server that cannot be
 	// reached gets no requests.
-	blockMin = 400 * time.Millisecond
+	blockMin = 150 * time.Millisecond
 	blockMax = 3 * time.Second
 	// remoteKeep is how long the load that another daemon reported counts.
 	remoteKeep = time.Second
