--- /dev/null
+++ b/front/server_test.go
@@ -0,0 +1,201 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// deadline bounds every wait; no test passes or fails by it unless it hangs.
+const deadline = 20 * time.Second
+
+// plain is a codec without names of its own.
+type plain struct{}
+
+// Call implements Codec.
+func (plain) Call(h *fasthttp.RequestHeader, c *wigeonladder.Call) *wigeonladder.Error {
+	c.ID = string(h.Peek("Id"))
+	return nil
+}
+
+// Answer implements Codec.
+func (plain) Answer(h *fasthttp.ResponseHeader, a wigeonladder.Answer) {
+	for _, f := range a.Headers {
+		h.Add(f.Name, f.Value)
+	}
+}
+
+// Refuse implements Codec.
+func (plain) Refuse(r *fasthttp.Response, _ *wigeonladder.Call, e *wigeonladder.Error) {
+	r.SetStatusCode(e.Code.Fact().Status)
+}
+
+// silent is a journal that keeps nothing.
+type silent struct{}
+
+// Note implements wigeonladder.Journal.
+func (silent) Note(string, string, ...any) {}
+
+// serve starts a server with a handler; it ends with the test.
+func serve(t *testing.T, l Limits, h Handler) (*Server, string) {
+	t.Helper()
+	n, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	s := NewServer(ctx, Options{Listener: n, Limits: l, Codec: plain{}, Handler: h, Journal: silent{}})
+	t.Cleanup(func() {
+		cancel()
+		s.close()
+	})
+	return s, n.Addr().String()
+}
+
+// usual are limits that no test reaches.
+var usual = Limits{Header: 4 << 10, Body: 1 << 20, Read: deadline, Idle: deadline, Write: deadline}
+
+// dial connects to a server.
+func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	is := is.New(t)
+	c, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	t.Cleanup(func() { c.Close() })
+	is.NoErr(c.SetDeadline(time.Now().Add(deadline)))
+	return c, bufio.NewReader(c)
+}
+
+// Guards against limits that are not kept, and statuses that promise what is not
+// so.
+func TestLimits(t *testing.T) {
+	handler := func(_ context.Context, c *wigeonladder.Call, w wigeonladder.Reply) {
+		_ = w.Whole(wigeonladder.Answer{Status: 200}, c.Body)
+	}
+	for name, x := range map[string]struct {
+		limits Limits
+		text   string
+		status int
+	}{
+		"header too large": {usual, "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 8<<10) + "\r\n\r\n", 431},
+		"body too large":   {usual, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9999999\r\n\r\n", 413},
+		"no request":       {usual, "nonsense\r\n\r\n", 400},
+		"slow sender":      {Limits{Header: 4 << 10, Body: 1 << 20, Read: 50 * time.Millisecond, Idle: deadline, Write: deadline}, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nab", 408},
+		"in chunks":        {usual, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, address := serve(t, x.limits, handler)
+			c, r := dial(t, address)
+			_, err := io.WriteString(c, x.text)
+			is.NoErr(err)
+			resp, err := http.ReadResponse(r, nil)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, x.status)
+		})
+	}
+}
+
+// Guards against a stream that looks complete though it was aborted, and one that
+// does not end.
+func TestStreamsEndAsTheyAre(t *testing.T) {
+	_, address := serve(t, usual, func(_ context.Context, c *wigeonladder.Call, w wigeonladder.Reply) {
+		_ = w.Begin(wigeonladder.Answer{Status: 200, Headers: []wigeonladder.Header{{Name: "Signature", Value: "s"}}})
+		_ = w.Event([]byte("id: 1\n\n"))
+		if c.ID == "whole" {
+			_ = w.End()
+			return
+		}
+		w.Abort()
+	})
+	for id, complete := range map[string]bool{"whole": true, "torn": false} {
+		t.Run(id, func(t *testing.T) {
+			is := is.New(t)
+			c, r := dial(t, address)
+			_, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nId: %s\r\nContent-Length: 0\r\n\r\n", id)
+			is.NoErr(err)
+			resp, err := http.ReadResponse(r, nil)
+			is.NoErr(err)
+			is.Equal(resp.Header.Get("Signature"), "s")
+			body, err := io.ReadAll(resp.Body)
+			is.Equal(string(body), "id: 1\n\n")
+			is.Equal(err == nil, complete)
+		})
+	}
+}
+
+// Guards against a caller that goes and is not noticed while its call runs.
+func TestCallerGoes(t *testing.T) {
+	gone := make(chan struct{})
+	_, address := serve(t, usual, func(ctx context.Context, _ *wigeonladder.Call, w wigeonladder.Reply) {
+		<-ctx.Done()
+		close(gone)
+		w.Abort()
+	})
+	c, _ := dial(t, address)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.New(t).NoErr(err)
+	c.Close()
+	select {
+	case <-gone:
+	case <-time.After(deadline):
+		t.Fatal("the caller was not missed")
+	}
+}
+
+// Guards against idle callers that hold all descriptors, and against the end of
+// connections while there is room.
+func TestIdleCallersMakeRoom(t *testing.T) {
+	limits := usual
+	limits.Conns = 4
+	s, address := serve(t, limits, func(_ context.Context, _ *wigeonladder.Call, w wigeonladder.Reply) {
+		_ = w.Whole(wigeonladder.Answer{Status: 200}, nil)
+	})
+	is := is.New(t)
+	for range 4 {
+		dial(t, address)
+	}
+	for s.listener.Open() < 4 {
+		time.Sleep(time.Millisecond)
+	}
+	for range 6 {
+		dial(t, address)
+	}
+	for end := time.Now().Add(deadline); s.listener.Open() > limits.Conns; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end))
+	}
+}
+
+// Guards against a shutdown that waits for idle callers, or cuts a call off.
+func TestShutdown(t *testing.T) {
+	is := is.New(t)
+	release, running := make(chan struct{}), make(chan struct{})
+	s, address := serve(t, usual, func(_ context.Context, _ *wigeonladder.Call, w wigeonladder.Reply) {
+		close(running)
+		<-release
+		_ = w.Whole(wigeonladder.Answer{Status: 200}, []byte("whole"))
+	})
+	dial(t, address)
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	<-running
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(t.Context(), 0) }()
+	close(release)
+	resp, err := http.ReadResponse(r, nil)
+	is.NoErr(err)
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(string(body), "whole")
+	is.NoErr(<-done)
+}
