contract: tokens of a probe end the block of an entry; soak: each daemon has its own address

Home d1 had a free slot of m7 (limit 3, 2 in use) that was blocked for the entries d1 and d4; d1's probe ran and had 199 tokens, but only the end of a probe ended the block, so that the 27th request waited beside a free slot. Renewals that report tokens now end it. TestTokensOfAProbeEndTheBlock fails without the change.

--- a/contract/breaker_test.go
+++ b/contract/breaker_test.go
@@ -174,3 +174,20 @@
 		b.is.Equal(ask(), "")
 	}, 1, 1)
 }
+
+// Guards against a server that is kept from an entry although the entry's probe has
+// had tokens from it: a free slot then idles while work waits.
+func TestTokensOfAProbeEndTheBlock(t *testing.T) {
+	run(t, func(b *bench) {
+		b.end(b.ask("e1", "w").Contract, wigeonladder.CodeConnect)
+		b.is.True(!b.ask("e1", "w").OK)
+		time.Sleep(2 * breakMin)
+		probe := b.ask("e1", "w")
+		b.is.True(probe.OK)
+		b.is.True(!b.ask("e1", "w").OK)
+		b.is.NoErr(b.ledger.Renew(context.Background(), wigeonladder.Renewal{
+			Entry: "e1", Held: []wigeonladder.Held{{Contract: probe.Contract, Cost: 5}},
+		}))
+		b.is.True(b.ask("e1", "w").OK)
+	}, 4)
+}
--- a/contract/renew.go
+++ b/contract/renew.go
@@ -66,7 +66,7 @@
 	t.renewed = now
 	t.inUse = true
 	if h.Cost > t.cost {
-		t.server.heard = now
+		l.heard(t.server, t.contract.Entry, now)
 	}
 	l.raise(t, h.Cost)
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -105,28 +105,19 @@
 	return time.Now().After(p.troubled)
 }
 
-// freeAddress returns an address on loopback that is free now.
-func freeAddress(ctx context.Context) (string, error) {
-	l, err := listen(ctx)
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
+// basePort is the first port of a daemon. Each daemon has an address of its own on
+// the loopback network, which no outgoing connection uses.
+const basePort = 7400
 
 // newSettings returns the settings of the n-th daemon.
-func newSettings(ctx context.Context, n int, store string, seeds []string) (setting.Edge, error) {
+func newSettings(n int, store string, seeds []string) setting.Edge {
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&63, pid&255, n+1)
+	at := func(i int) string { return fmt.Sprintf("%s:%d", ip, basePort+i) }
 	s := setting.DefaultEdge()
 	s.Name, s.Zone, s.Store, s.Seeds = fmt.Sprintf("edge-%d", n), fmt.Sprintf("zone-%d", n%zones), store, seeds
 	s.KeyTrust = setting.Duration(keyTrust)
 	s.Retry.Slack = 50
-	for _, at := range []*string{&s.Front, &s.Ready, &s.Peer, &s.Metrics} {
-		a, err := freeAddress(ctx)
-		if err != nil {
-			return s, err
-		}
-		*at = a
-	}
-	return s, nil
+	s.Front, s.Ready, s.Peer, s.Metrics = at(0), at(1), at(2), at(3)
+	return s
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -124,10 +124,7 @@
 	s.store.PutConfig(s.config)
 	var seeds []string
 	for i := range s.o.Daemons {
-		settings, err := newSettings(ctx, i, s.link.address(), seeds)
-		if err != nil {
-			return err
-		}
+		settings := newSettings(i, s.link.address(), seeds)
 		if len(seeds) < zones {
 			seeds = append(seeds, settings.Peer)
 		}
