--- a/cmd/wigeonladder/edge.go
+++ b/cmd/wigeonladder/edge.go
@@ -49,6 +49,10 @@
 
 // runEdge runs an edge daemon until the context ends, then stops it gracefully.
 func runEdge(ctx context.Context, out io.Writer, file string, settings setting.Edge) error {
+	// Without this, a SIGHUP that comes while the daemon starts would end it.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	logs, endLogs := context.WithCancel(context.WithoutCancel(ctx))
 	handler := edge.NewLog(logs, out)
 	defer handler.Wait()
@@ -64,17 +68,14 @@
 	if err != nil {
 		return err
 	}
-	followSettings(ctx, file, d, l)
+	followSettings(ctx, hup, file, d, l)
 	d.Stop(context.WithoutCancel(ctx))
 	return nil
 }
 
 // followSettings takes over changes of the settings file, on SIGHUP and without,
 // until the context ends.
-func followSettings(ctx context.Context, file string, d *edge.Daemon, l log.Interface) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func followSettings(ctx context.Context, hup <-chan os.Signal, file string, d *edge.Daemon, l log.Interface) {
 	t := time.NewTicker(reloadPeriod)
 	defer t.Stop()
 	changed := modified(file)
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -269,7 +269,7 @@
 
 // take takes over the report of another daemon.
 func (d *Daemon) take(r exchange.Report) {
-	d.pool.Import(r.From, r.Place)
+	d.pool.Import(r.From, r.Place, r.Life())
 	if r.Charges != nil {
 		d.counters.Import(*r.Charges)
 	}
--- a/exchange/mesh.go
+++ b/exchange/mesh.go
@@ -23,8 +23,6 @@
 	quietPeriod = 400 * time.Millisecond
 	// chargesPeriod is the time between two reports with charges and suspects.
 	chargesPeriod = 200 * time.Millisecond
-	// aliveFor is how long a daemon counts as alive after its last report.
-	aliveFor = 1500 * time.Millisecond
 	// forgetAfter is the time without a connection after which a daemon that
 	// is no seed is no longer dialled.
 	forgetAfter = 20 * time.Second
@@ -59,6 +57,7 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
+	// heard is until when the last report of a daemon counts, by its name.
 	heard map[string]time.Time
 	// reports and bytes are what was sent.
 	reports, bytes int64
@@ -78,8 +77,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	n := 1
-	for _, t := range m.heard {
-		if time.Since(t) < aliveFor {
+	for _, until := range m.heard {
+		if time.Now().Before(until) {
 			n++
 		}
 	}
@@ -175,10 +174,10 @@
 		return
 	}
 	m.mu.Lock()
-	last, known := m.heard[r.From]
-	m.heard[r.From] = time.Now()
+	until := m.heard[r.From]
+	m.heard[r.From] = time.Now().Add(r.Life())
 	m.mu.Unlock()
-	if !known || time.Since(last) >= aliveFor {
+	if time.Now().After(until) {
 		m.o.Journal.Note("", "peer_heard", "peer", r.From, "incarnation", r.Incarnation)
 	}
 	m.o.Import(r)
@@ -202,6 +201,7 @@
 		}
 		sent = now
 		r.From, r.Incarnation = m.o.Self.Name, m.o.Self.Incarnation
+		r.Every = max(m.period(), quietPeriod).Milliseconds()
 		m.broadcast(r)
 	}
 }
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -1,6 +1,8 @@
 package exchange
 
 import (
+	"time"
+
 	"github.com/wigeonladder/wigeonladder"
 	"github.com/wigeonladder/wigeonladder/fair"
 	"github.com/wigeonladder/wigeonladder/place"
@@ -24,13 +26,26 @@
 	Incarnation string `json:"i"`
 }
 
+// Life returns how long a report counts: until three of the next ones are missing.
+func (r Report) Life() time.Duration {
+	return min(max(3*time.Duration(r.Every)*time.Millisecond, lifeMin), lifeMax)
+}
+
+// lifeMin and lifeMax bound the time for which a report counts.
+const (
+	lifeMin = 1500 * time.Millisecond
+	lifeMax = 20 * time.Second
+)
+
 // Report is what one daemon tells the others.
 type Report struct {
 	From string `json:"f"`
 	// Incarnation tells reports of two starts of a daemon apart.
-	Incarnation string                `json:"i"`
-	Place       place.Report          `json:"p"`
-	Charges     *wigeonladder.Charges `json:"c,omitempty"`
+	Incarnation string `json:"i"`
+	// Every is the longest time between two reports in milliseconds.
+	Every   int64                 `json:"e"`
+	Place   place.Report          `json:"p"`
+	Charges *wigeonladder.Charges `json:"c,omitempty"`
 	// Totals are the totals of workspaces that changed.
 	Totals   []fair.Total             `json:"t,omitempty"`
 	Suspects []wigeonladder.Suspicion `json:"s,omitempty"`
--- a/place/pool_test.go
+++ b/place/pool_test.go
@@ -118,7 +118,7 @@
 		is := is.New(t)
 		b := newRig(t.Context(), "zone-b", 2)
 		l := a.acquire(t, a.job("w", "s"))
-		b.Import("a", a.Export())
+		b.Import("a", a.Export(), time.Second)
 		row := b.Dump()
 		total := 0
 		for _, x := range row {
@@ -130,7 +130,7 @@
 		}
 		is.Equal(total, 1)
 		finish(l)
-		b.Import("a", a.Export())
+		b.Import("a", a.Export(), time.Second)
 		for _, x := range b.Dump() {
 			is.Equal(x.Total, 0)
 		}
@@ -142,8 +142,8 @@
 	bubble(t, 2, func(t *testing.T, a *rig) {
 		b := newRig(t.Context(), "zone-b", 2)
 		l := a.acquire(t, a.job("w", "s"))
-		b.Import("a", a.Export())
-		time.Sleep(remoteKeep + sweepPeriod)
+		b.Import("a", a.Export(), time.Second)
+		time.Sleep(time.Second + 2*sweepPeriod)
 		for _, x := range b.Dump() {
 			is.New(t).Equal(x.Total, 0)
 		}
--- a/place/report.go
+++ b/place/report.go
@@ -52,9 +52,9 @@
 	return r
 }
 
-// Import takes over the report of another daemon. A server that it does not name
-// has no load of that daemon.
-func (p *Pool) Import(from string, r Report) {
+// Import takes over the report of another daemon, which counts for a time. A server
+// that it does not name has no load of that daemon.
+func (p *Pool) Import(from string, r Report, life time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -65,7 +65,7 @@
 	for _, g := range p.services {
 		for id, s := range g.servers {
 			l := loads[id]
-			s.setRemote(from, load{max(l.Running, 0), max(l.Unread, 0), max(l.Memory, 0)}, now)
+			s.setRemote(from, load{max(l.Running, 0), max(l.Unread, 0), max(l.Memory, 0)}, now.Add(life))
 		}
 		for _, x := range r.Sent {
 			if s := g.servers[x.Server]; s != nil && s.cache != nil {
--- a/place/server.go
+++ b/place/server.go
@@ -38,8 +38,6 @@
 	// reached gets no requests.
 	blockMin = 150 * time.Millisecond
 	blockMax = 3 * time.Second
-	// remoteKeep is how long the load that another daemon reported counts.
-	remoteKeep = time.Second
 	// paceStep is the weight of the newest observation of a server's pace.
 	paceStep = 0.1
 	// paceMin and paceMax bound the learned pace.
@@ -93,10 +91,11 @@
 	return load{l.running - o.running, l.unread - o.unread, l.memory - o.memory}
 }
 
-// remoteLoad is the load of another daemon as it reported it.
+// remoteLoad is the load of another daemon as it reported it, and until when the
+// report counts.
 type remoteLoad struct {
 	load
-	at time.Time
+	until time.Time
 }
 
 // newServer returns a server without load.
@@ -121,19 +120,19 @@
 func (s *server) total() load { return s.own.add(s.others) }
 
 // setRemote takes over the load that another daemon reports.
-func (s *server) setRemote(from string, l load, now time.Time) {
+func (s *server) setRemote(from string, l load, until time.Time) {
 	s.others = s.others.sub(s.remote[from].load).add(l)
 	if l == (load{}) {
 		delete(s.remote, from)
 		return
 	}
-	s.remote[from] = remoteLoad{l, now}
+	s.remote[from] = remoteLoad{l, until}
 }
 
 // expire drops the loads of daemons that have not reported for long.
 func (s *server) expire(now time.Time) {
 	for from, r := range s.remote {
-		if now.Sub(r.at) >= remoteKeep {
+		if now.After(r.until) {
 			s.setRemote(from, load{}, now)
 		}
 	}
