--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -151,7 +151,7 @@
 	}
 	d.book = route.NewBook(uptime, trust)
 	d.counters = fair.NewCounters(fair.Options{Home: incarnation})
-	d.window = fair.NewWindow()
+	d.window = fair.NewWindow(d.daemons)
 	d.relay = backend.NewRelay(d.platform.Servers)
 	d.pool = place.NewPool(ctx, place.Options{Zone: s.Zone, Shares: d.counters, Window: d.window, Peers: d.daemons})
 	d.roster = inventory.NewRoster(d.pool, d.platform.ParseServer, d.journal)
--- a/fair/window.go
+++ b/fair/window.go
@@ -15,12 +15,17 @@
 	// restrainedFor is how long a workspace counts as restrained after one of
 	// its calls was refused or came late.
 	restrainedFor = 1500 * time.Millisecond
-	// lead is how much more than the least served restrained workspace another
-	// one may get before it comes behind that one; with maxLead times as much it
-	// gets nothing. Without a bound, the workspace that calls most often would
-	// find nearly all of the room that is spare.
-	lead    = 1.1
-	maxLead = 1.3
+	// maxLead is how much more than the least served restrained workspace another
+	// one may get until it gets nothing, in a small fleet; without a bound, the
+	// workspace that calls most often would find nearly all of the room that is
+	// spare. A large fleet hears of its own service later and goes further beyond
+	// the bound, so that it falls towards minLead.
+	maxLead, minLead = 0.3, 0.1
+	// smallFleet is the number of daemons with the whole lead.
+	smallFleet = 6
+	// firstLead is the part of the lead from which a workspace comes behind the
+	// restrained one.
+	firstLead = 1.0 / 3
 	// wanting is the part of what it asks for below which a restrained workspace
 	// holds others back; one that gets nearly all of it only has calls that come
 	// late.
@@ -75,7 +80,8 @@
 // fleet in the last seconds. The max-min share is the level up to which every
 // workspace gets what it asks if the levels sum up to the capacity.
 type Window struct {
-	start time.Time
+	start   time.Time
+	daemons func() int
 
 	mu       sync.Mutex
 	rows     map[string]*windowRow
@@ -84,6 +90,7 @@
 	levelAt  time.Time
 	least    float64
 	hasLeast bool
+	lead     float64
 	dirty    map[string]bool
 }
 
@@ -105,9 +112,13 @@
 	parts [windowSteps]float64
 }
 
-// NewWindow returns a window in which nothing has happened.
-func NewWindow() *Window {
-	return &Window{start: time.Now(), rows: map[string]*windowRow{}, dirty: map[string]bool{}}
+// NewWindow returns a window in which nothing has happened. The function tells the
+// number of daemons that report to each other; nil for one.
+func NewWindow(daemons func() int) *Window {
+	if daemons == nil {
+		daemons = func() int { return 1 }
+	}
+	return &Window{start: time.Now(), daemons: daemons, rows: map[string]*windowRow{}, dirty: map[string]bool{}}
 }
 
 // SetCapacity sets the service of the whole fleet in cost units per second; 0 if
@@ -170,9 +181,9 @@
 	switch {
 	case got <= w.level:
 		return Within
-	case w.hasLeast && got > maxLead*least:
+	case w.hasLeast && got > (1+w.lead)*least:
 		return Barred
-	case w.hasLeast && got > lead*least:
+	case w.hasLeast && got > (1+w.lead*firstLead)*least:
 		return Ahead
 	}
 	return Beyond
@@ -191,7 +202,7 @@
 	}
 	got, room := r.got.sum(w.step(now)), w.level
 	if w.hasLeast {
-		room = lead * max(w.least, w.level)
+		room = (1 + w.lead*firstLead) * max(w.least, w.level)
 	}
 	if got <= room {
 		return 0
@@ -217,6 +228,7 @@
 	w.levelAt = now
 	demands := make([]float64, 0, len(w.rows))
 	w.hasLeast = false
+	w.lead = minLead + (maxLead-minLead)*smallFleet/float64(max(w.daemons(), smallFleet))
 	for _, r := range w.rows {
 		got, asked := r.got.sum(w.step(now)), r.asked.sum(w.step(now))
 		if asked > 0 {
--- a/fair/window_test.go
+++ b/fair/window_test.go
@@ -35,7 +35,7 @@
 func TestStandings(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		w := NewWindow()
+		w := NewWindow(nil)
 		w.SetCapacity(1000)
 		w.Asked("large", 100000)
 		w.Asked("small", 100)
@@ -65,7 +65,7 @@
 func TestNewDaemonLearnsShares(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		old, young := NewWindow(), NewWindow()
+		old, young := NewWindow(nil), NewWindow(nil)
 		old.SetCapacity(1000)
 		young.SetCapacity(1000)
 		old.Asked("large", 100000)
@@ -84,7 +84,7 @@
 func TestTotalsAddUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		a, b := NewWindow(), NewWindow()
+		a, b := NewWindow(nil), NewWindow(nil)
 		a.Asked("w", 1)
 		b.Asked("w", 1)
 		b.Import("a", a.Export())
@@ -103,3 +103,23 @@
 		is.Equal(b.rows["w"].got.sum(b.step(now)), 550.0)
 	})
 }
+
+// Guards against a lead that a large fleet, whose reports come later, exceeds by far.
+func TestLeadFallsWithTheFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		standing := func(daemons int, got int64) Standing {
+			w := NewWindow(func() int { return daemons })
+			w.SetCapacity(1)
+			w.Asked("starved", 10000)
+			w.Got("starved", 1000)
+			w.Restrained("starved")
+			w.Got("large", got)
+			return w.Standing("large")
+		}
+		is.Equal(standing(4, 1250), Ahead)
+		is.Equal(standing(4, 1350), Barred)
+		is.Equal(standing(30, 1250), Barred)
+		is.Equal(standing(30, 1030), Beyond)
+	})
+}
--- a/place/pool_test.go
+++ b/place/pool_test.go
@@ -31,7 +31,7 @@
 
 // newRig returns a pool of model servers.
 func newRig(ctx context.Context, zone string, servers int) *rig {
-	w := fair.NewWindow()
+	w := fair.NewWindow(nil)
 	r := &rig{window: w, Pool: NewPool(ctx, Options{Zone: zone, Shares: fair.NewCounters(fair.Options{Home: zone}), Window: w})}
 	r.Describe([]route.Service{{Name: "model", Engine: &route.Engine{Slots: 8, CacheTokens: 400000}}, {Name: "app"}})
 	for i := range servers {
