--- a/fair/window.go
+++ b/fair/window.go
@@ -20,7 +20,7 @@
 	// workspace that calls most often would find nearly all of the room that is
 	// spare. A large fleet hears of its own service later and goes further beyond
 	// the bound, so that it falls towards minLead.
-	maxLead, minLead = 0.3, 0.1
+	maxLead, minLead = 0.3, 0.0
 	// smallFleet is the number of daemons with the whole lead.
 	smallFleet = 6
 	// firstLead is the part of the lead from which a workspace comes behind the
--- a/place/choose.go
+++ b/place/choose.go
@@ -146,24 +146,36 @@
 	if l.running == 0 && standing != fair.Barred {
 		return true
 	}
-	slots, hold := s.slots(), holdTime
+	slots := s.slots()
 	switch standing {
 	case fair.Barred:
 		return false
 	case fair.Beyond:
-		slots, hold = slots*3/4, spareTime
+		slots = slots * 3 / 4
 	case fair.Ahead:
-		slots, hold = slots/2, aheadTime
+		slots /= 2
 		if g.waiting > 0 && j.at == nil {
 			return false
 		}
 	case fair.Within:
 	}
 	need := j.Prompt.Tokens + j.Prompt.MaxOutput
-	return l.running < slots && wait < hold &&
+	return l.running < slots && wait < hold(standing) &&
 		float64(l.memory+need) <= memoryShare*float64(s.engine.CacheTokens)
 }
 
+// hold is the expected wait up to which a server is sent calls of a workspace.
+func hold(s fair.Standing) time.Duration {
+	switch s {
+	case fair.Beyond:
+		return spareTime
+	case fair.Ahead, fair.Barred:
+		return aheadTime
+	case fair.Within:
+	}
+	return holdTime
+}
+
 // lease takes room on a server for a job.
 func (p *Pool) lease(g *group, j *Job, o *option, now time.Time) *Lease {
 	s := o.server
@@ -321,9 +333,10 @@
 	if best == nil {
 		return wigeonladder.Errorf(wigeonladder.CodeNoServer, g.name, "none of %d backend servers takes calls", len(g.servers)).WithWait(backMin)
 	}
-	// What waits here for the best server is read before this job.
-	ahead := best.wait + time.Duration(readTime(best.server.queued)*best.server.pace)
-	if g.waiting >= maxWaiting || !now.Add(ahead).Before(p.patience(g, j)) {
+	// What waits here for the best server is read before this job; then there is
+	// room once the server has less to read than what it is sent at the most.
+	ahead := best.wait + time.Duration(readTime(best.server.queued)*best.server.pace) - hold(p.standing(g, j))
+	if g.waiting >= maxWaiting || !now.Add(max(ahead, 0)).Before(p.patience(g, j)) {
 		return wigeonladder.Errorf(wigeonladder.CodeOverload, g.name, "%d calls wait", g.waiting).WithWait(p.comeBack(g, j))
 	}
 	return nil
