--- a/edge/change_test.go
+++ b/edge/change_test.go
@@ -23,7 +23,7 @@
 		},
 		"removed": func(r *rig) { r.store.RemoveServer(r.apps[0].Instance().ID) },
 		"unreadable": func(r *rig) {
-			r.store.PutRaw("servers/"+r.apps[0].Instance().ID, []byte(`{"service":7}`))
+			r.store.PutRawServer(r.apps[0].Instance().ID, []byte(`{"service":7}`))
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -76,7 +76,7 @@
 		`{`, `[]`, `{"service":"app"}`, `{"service":"app","address":1,"zone":"z","slots":1,"state":"ready"}`, "\xff\xfe",
 		`{"service":"app","address":"127.0.0.1:1","zone":"z","slots":1,"state":"odd"}`,
 	} {
-		r.store.PutRaw(fmt.Sprintf("servers/foreign-%d", i), []byte(text))
+		r.store.PutRawServer(fmt.Sprintf("foreign-%d", i), []byte(text))
 	}
 	r.publish(func(*route.Document) {})
 	for range 5 {
--- a/edge/fault_test.go
+++ b/edge/fault_test.go
@@ -112,7 +112,7 @@
 		r := newRig(t)
 		for _, s := range r.models {
 			s.SetFault(func(_ int, q *http.Request) stub.Fault {
-				if q.Header.Get("Last-Event-Id") == "" {
+				if !stub.Resumes(q.Header) {
 					return stub.Torn
 				}
 				return stub.None
--- a/edge/path_test.go
+++ b/edge/path_test.go
@@ -17,7 +17,7 @@
 		t.Run(strings.Trim(path[:5], "/"), func(t *testing.T) {
 			is := is.New(t)
 			c := r.call(path)
-			c.Header = map[string]string{"Tenant-Id": "forged", "Expected-Replica": "forged", "Hold": "h", "Pin-Ms": "9", "Kv-From": "x", "X-Own": "kept"}
+			c.Header = stub.Forge()
 			wantWhole(t, c, r.do(c))
 			runs := r.runs(c.ID)
 			is.Equal(len(runs), 1)
@@ -31,15 +31,15 @@
 				workspace = "north"
 			}
 			is.Equal(runs[0].Workspace, workspace)
-			is.Equal(runs[0].Header.Get("Hold")+runs[0].Header.Get("Pin-Ms")+runs[0].Header.Get("Kv-From"), "")
-			is.Equal(runs[0].Header.Get("X-Own"), "kept")
+			is.True(!stub.HoldsForged(runs[0].Header))
+			is.Equal(runs[0].Header.Get(stub.OwnHeader), "kept")
 		})
 	}
 	t.Run("stream", func(t *testing.T) {
 		c := r.call("/stream/x")
 		c.Prompt, c.Tokens, c.Output = "aa:100,bb:20", 120, 30
 		wantStream(t, c, r.do(c), 5)
-		is.New(t).Equal(r.runs(c.ID)[0].Header.Get("Prompt-Prefix"), c.Prompt)
+		is.New(t).Equal(stub.Prompt(r.runs(c.ID)[0].Header), c.Prompt)
 	})
 }
 
--- a/edge/smuggle_test.go
+++ b/edge/smuggle_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/wigeonladder/wigeonladder/platform/stub"
 )
 
 // Guards against a second call that is hidden in the body or the header of
@@ -17,7 +19,7 @@
 func TestNothingIsSmuggled(t *testing.T) {
 	r := newRig(t)
 	get := func(id, more string) string {
-		return "GET /public/x HTTP/1.1\r\nHost: " + host + "\r\nAttempt-Id: " + id + "\r\n" + more + "\r\n"
+		return "GET /public/x HTTP/1.1\r\nHost: " + host + "\r\n" + stub.HeadLine(id) + more + "\r\n"
 	}
 	for name, rest := range map[string]func(inner string) string{
 		"two lengths": func(s string) string {
@@ -42,7 +44,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			id := fmt.Sprintf("inner-%d", r.ids.Add(1))
-			text := "POST /public/x HTTP/1.1\r\nHost: " + host + "\r\nAttempt-Id: outer\r\n" + rest(get(id, ""))
+			text := "POST /public/x HTTP/1.1\r\nHost: " + host + "\r\n" + stub.HeadLine("outer") + rest(get(id, ""))
 			c, err := net.Dial("tcp", r.fronts[0])
 			is.NoErr(err)
 			defer c.Close()
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -100,6 +100,7 @@
 			is.NoErr(err)
 			resp, err := http.ReadResponse(r, nil)
 			is.NoErr(err)
+			defer resp.Body.Close()
 			is.Equal(resp.StatusCode, x.status)
 		})
 	}
@@ -125,6 +126,7 @@
 			is.NoErr(err)
 			resp, err := http.ReadResponse(r, nil)
 			is.NoErr(err)
+			defer resp.Body.Close()
 			is.Equal(resp.Header.Get("Signature"), "s")
 			body, err := io.ReadAll(resp.Body)
 			is.Equal(string(body), "id: 1\n\n")
@@ -194,6 +196,7 @@
 	close(release)
 	resp, err := http.ReadResponse(r, nil)
 	is.NoErr(err)
+	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	is.NoErr(err)
 	is.Equal(string(body), "whole")
