fair: a workspace lacks service below 0.6 of what it asks for

At 0.75, a workspace whose calls came late for a moment barred others, which then lacked service themselves.

--- a/fair/window.go
+++ b/fair/window.go
@@ -29,7 +29,7 @@
 	// wanting is the part of what it asks for below which a restrained workspace
 	// holds others back; one that gets nearly all of it only has calls that come
 	// late.
-	wanting = 0.75
+	wanting = 0.6
 	// maxWindowRows bounds the workspaces of one window.
 	maxWindowRows = 4096
 )
