--- a/forward/again.go
+++ b/forward/again.go
@@ -82,9 +82,18 @@
 		}
 		return err
 	}
-	err = r.honest(ctx, err)
-	r.reply.Refuse(err)
-	return err
+	told := r.honest(ctx, err)
+	r.reply.Refuse(told)
+	if gone(err) {
+		return err
+	}
+	return told
+}
+
+// gone reports whether an error says that the context of the call ended: the caller
+// went, or the daemon stops and cuts it off.
+func gone(err *wigeonladder.Error) bool {
+	return err.Code == wigeonladder.CodeCallerGone || err.Code == wigeonladder.CodeCallerLost
 }
 
 // honest returns the error that the caller is told: it says "not run" only if no
@@ -94,10 +103,15 @@
 	switch {
 	case r.runs > 0 && notRun:
 		return wigeonladder.Errorf(wigeonladder.CodeBroken, err.Place, "an earlier sending may have run; then %v", err)
+	case !notRun && gone(err):
+		return wigeonladder.Errorf(wigeonladder.CodeBroken, err.Place, "%s", err.Detail)
 	case !notRun:
 		return err
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return wigeonladder.Errorf(wigeonladder.CodeWaitTooLong, err.Place, "%s", err.Detail).WithWait(staleWait)
+	case gone(err):
+		// Nobody hears this unless it is the daemon that goes.
+		return wigeonladder.Errorf(wigeonladder.CodeDraining, err.Place, "%s", err.Detail).WithWait(staleWait)
 	case err.Code.Fact().Status >= 500 && err.Wait == 0 && err.RetryAfter == 0:
 		return wigeonladder.Errorf(wigeonladder.CodeNoServer, err.Place, "%v", err).WithWait(staleWait)
 	}
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -35,7 +35,11 @@
 	select {
 	case <-t.C:
 	case <-ctx.Done():
-		return nil, wigeonladder.Errorf(wigeonladder.CodeTimeout, x.Instance.ID, "%v", ctx.Err())
+		code := wigeonladder.CodeTimeout
+		if errors.Is(ctx.Err(), context.Canceled) {
+			code = wigeonladder.CodeCallerLost
+		}
+		return nil, wigeonladder.Errorf(code, x.Instance.ID, "%v", ctx.Err())
 	}
 	c := s.errs[min(len(s.sent), len(s.errs))-1]
 	return nil, wigeonladder.Errorf(c, x.Instance.ID, "scripted")
@@ -196,6 +200,29 @@
 	})
 }
 
+// Guards against a status that blames a caller who is still there: a daemon that
+// stops ends the calls that run, and says whether they may have run.
+func TestCutCalls(t *testing.T) {
+	for name, x := range map[string]struct {
+		delay  time.Duration
+		status int
+	}{"may have run": {time.Minute, 502}, "waiting": {0, 503}} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, []wigeonladder.Code{connect}, func(t *testing.T, r *rig) {
+				r.sender.delay = x.delay
+				ctx, cancel := context.WithCancel(t.Context())
+				if x.delay == 0 {
+					cancel()
+				}
+				time.AfterFunc(time.Second, cancel)
+				o := &outcome{}
+				r.Serve(ctx, &wigeonladder.Call{ID: "id", Method: "POST", Host: "h", Path: "/once/", Received: time.Now()}, o)
+				is.New(t).Equal(o.err.Code.Fact().Status, x.status)
+			})
+		})
+	}
+}
+
 // Guards against more time for a backend server than is left, and against a call
 // that is held beyond the timeout of its route.
 func TestTimeLeft(t *testing.T) {
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -202,3 +202,25 @@
 	is.Equal(string(body), "whole")
 	is.NoErr(<-done)
 }
+
+// Guards against calls that get no answer when the time to stop is over.
+func TestCutCallsAreAnswered(t *testing.T) {
+	is := is.New(t)
+	running := make(chan struct{})
+	s, address := serve(t, usual, func(ctx context.Context, _ *wigeonladder.Call, w wigeonladder.Reply) {
+		close(running)
+		<-ctx.Done()
+		w.Refuse(wigeonladder.Errorf(wigeonladder.CodeDraining, "", "stopping"))
+	})
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	<-running
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.True(s.Shutdown(over, 0) != nil)
+	resp, err := http.ReadResponse(r, nil)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(resp.StatusCode, 503)
+}
--- a/front/shutdown.go
+++ b/front/shutdown.go
@@ -62,10 +62,18 @@
 	}
 }
 
+// cutWithin bounds the wait for the answers to calls that are cut off.
+const cutWithin = 300 * time.Millisecond
+
 // close ends the listener, the open calls and all connections.
 func (s *Server) close() {
 	_ = s.o.Listener.Close()
 	s.cancel()
+	for end := time.Now().Add(cutWithin); s.Open() > 0 && time.Now().Before(end); {
+		time.Sleep(stopPoll)
+	}
+	// The server sends an answer after its call has ended.
+	time.Sleep(stopPoll)
 	s.listener.CloseConns()
 	s.served.Wait()
 }
