--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -111,7 +111,8 @@
 	book     *route.Book
 	pool     *place.Pool
 	roster   *inventory.Roster
-	mesh     *exchange.Mesh
+	// mesh is set after the pool has started, which asks for the daemons.
+	mesh     atomic.Pointer[exchange.Mesh]
 	relay    *backend.Relay
 	counters *fair.Counters
 	window   *fair.Window
@@ -159,11 +160,11 @@
 	if err != nil {
 		return errors.Wrap(err, "peer")
 	}
-	d.mesh = exchange.New(ctx, exchange.Options{
+	d.mesh.Store(exchange.New(ctx, exchange.Options{
 		Self:     exchange.Member{Name: s.Name, Zone: s.Zone, Address: s.Peer, Incarnation: incarnation},
 		Listener: peers, Dial: dial, Seeds: func() []string { return *d.seeds.Load() },
 		Export: d.export, Import: d.take, Journal: d.journal,
-	})
+	}))
 	d.follow(ctx)
 	if err := d.serve(ctx); err != nil {
 		return err
@@ -173,15 +174,15 @@
 
 // daemons is the number of daemons that are alive, this one included.
 func (d *Daemon) daemons() int {
-	if d.mesh == nil {
-		return 1
+	if m := d.mesh.Load(); m != nil {
+		return m.Alive()
 	}
-	return d.mesh.Alive()
+	return 1
 }
 
 // sharers is the number of daemons that may use what all share: also those that
 // are known and cannot be reached now, which may be at work behind a partition.
-func (d *Daemon) sharers() int { return max(d.daemons(), len(d.mesh.Members())+1) }
+func (d *Daemon) sharers() int { return max(d.daemons(), len(d.mesh.Load().Members())+1) }
 
 // follow follows the store. One watch of all items takes fewer calls than one for
 // each kind.
