--- a/front/server.go
+++ b/front/server.go
@@ -60,7 +60,10 @@
 	http     *fasthttp.Server
 	listener *conn.Listener
 	open     atomic.Int64
+	// leaving ends each connection after its answer, refusing also refuses new
+	// calls.
 	leaving  atomic.Bool
+	refusing atomic.Bool
 	served   sync.WaitGroup
 }
 
@@ -157,6 +160,11 @@
 		s.o.Codec.Refuse(&c.Response, call, err)
 		return
 	}
+	if s.refusing.Load() {
+		s.o.Journal.Note(call.ID, "call_refused", "code", wigeonladder.CodeDraining)
+		s.o.Codec.Refuse(&c.Response, call, wigeonladder.Errorf(wigeonladder.CodeDraining, "", "the daemon is stopping").WithWait(refusedWait))
+		return
+	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	stop := w.Watch(cancel)
 	s.open.Add(1)
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -224,3 +224,35 @@
 	defer resp.Body.Close()
 	is.Equal(resp.StatusCode, 503)
 }
+
+// Guards against calls that a stopping daemon takes so late that it has to cut them
+// off.
+func TestShutdownRefusesLateCalls(t *testing.T) {
+	is := is.New(t)
+	release, running := make(chan struct{}), make(chan struct{}, 2)
+	s, address := serve(t, usual, func(_ context.Context, _ *wigeonladder.Call, w wigeonladder.Reply) {
+		running <- struct{}{}
+		<-release
+		_ = w.Whole(wigeonladder.Answer{Status: 200}, []byte("whole"))
+	})
+	request := "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	first, _ := dial(t, address)
+	_, err := io.WriteString(first, request)
+	is.NoErr(err)
+	<-running
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(t.Context(), 0) }()
+	for !s.refusing.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	late, r := dial(t, address)
+	_, err = io.WriteString(late, request)
+	is.NoErr(err)
+	resp, err := http.ReadResponse(r, nil)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(resp.StatusCode, 503)
+	is.True(resp.Close)
+	close(release)
+	is.NoErr(<-done)
+}
--- a/front/shutdown.go
+++ b/front/shutdown.go
@@ -11,11 +11,14 @@
 	// dismissIdle is how long a connection must have been idle to be closed
 	// during a shutdown. It gives a caller that has just connected time to send.
 	dismissIdle = 300 * time.Millisecond
+	// refusedWait is when a call comes back that a stopping daemon has refused.
+	refusedWait = 100 * time.Millisecond
 )
 
-// Shutdown serves on for at least the lead time, in which load balancers notice
-// that the daemon leaves, and ends each connection between two calls. It returns
-// once no call and no connection is open, or with the context's error.
+// Shutdown serves on for the lead time, in which load balancers notice that the
+// daemon leaves, and ends each connection between two calls. Then it refuses new
+// calls, which could be cut off before they end. It returns once no call and no
+// connection is open, or with the context's error.
 func (s *Server) Shutdown(ctx context.Context, lead time.Duration) error {
 	s.leaving.Store(true)
 	end := time.Now().Add(lead)
@@ -23,7 +26,9 @@
 	defer t.Stop()
 	for {
 		s.listener.Dismiss(dismissIdle, nil)
-		if time.Now().After(end) && s.Open() == 0 && s.listener.Open() == 0 {
+		over := !time.Now().Before(end)
+		s.refusing.Store(over)
+		if over && s.Open() == 0 && s.listener.Open() == 0 {
 			break
 		}
 		select {
