--- a/edge/rig_test.go
+++ b/edge/rig_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -107,7 +108,7 @@
 func (r *rig) start(s setting.Edge, n int, seeds []string) []string {
 	r.t.Helper()
 	s.Name, s.Zone, s.Store = fmt.Sprintf("edge-%d", n), "zone-a", r.store.Address()
-	s.Front, s.Ready, s.Peer = address(r.t), address(r.t), address(r.t)
+	s.Front, s.Ready, s.Peer = address(), address(), address()
 	s.Seeds = seeds
 	ctx, cancel := context.WithCancel(context.Background())
 	r.t.Cleanup(cancel)
@@ -161,12 +162,14 @@
 	return l
 }
 
-// address returns a free address on loopback.
-func address(t testing.TB) string {
-	t.Helper()
-	l := listen(t)
-	defer l.Close()
-	return l.Addr().String()
+// addresses numbers the addresses of the rigs.
+var addresses atomic.Int64
+
+// address returns an address of its own on the loopback network. A port that was
+// free a moment before may be another listener's by the time it is used.
+func address() string {
+	n := addresses.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:7400", 130+os.Getpid()%120, n/250, 1+n%250)
 }
 
 // eventually waits until a condition holds.
