exchange, place: reports to other zones are rarer, joined and packed

Ruled out: the calls themselves, which are a smaller part.

Reports to the daemons of the zone go every 50 ms, in proportion more rarely with more than six of them; those to other zones are joined and go at a quarter of that rate. Reports are compressed, once for all receivers. hello is answered with the zone.

Tests: TestReportsBetweenZones, TestReportWithNext, TestPack.

--- /dev/null
+++ b/exchange/merge.go
@@ -0,0 +1,42 @@
+package exchange
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/fair"
+)
+
+// WithNext returns one report that says what this one and a later one of the same
+// daemon say. Totals and charges are cumulative, so that the later row of a
+// workspace replaces the earlier one.
+func (r Report) WithNext(next Report) Report {
+	r.Place = r.Place.WithNext(next.Place)
+	r.Charges = mergeCharges(r.Charges, next.Charges)
+	r.Totals = latest(r.Totals, next.Totals, func(a, b fair.Total) int { return cmp.Compare(a.Workspace, b.Workspace) })
+	if next.Suspects != nil {
+		r.Suspects = next.Suspects
+	}
+	return r
+}
+
+// mergeCharges returns the charges of two reports.
+func mergeCharges(old, next *wigeonladder.Charges) *wigeonladder.Charges {
+	if old == nil || next == nil {
+		return cmp.Or(next, old)
+	}
+	c := *next
+	c.Rows = latest(old.Rows, next.Rows, func(a, b wigeonladder.Charge) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Workspace, b.Workspace))
+	})
+	return &c
+}
+
+// latest returns the rows of both lists in order; of two rows that compare equal it
+// keeps the later one.
+func latest[R any](old, next []R, order func(a, b R) int) []R {
+	all := slices.Concat(next, old)
+	slices.SortStableFunc(all, order)
+	return slices.CompactFunc(all, func(a, b R) bool { return order(a, b) == 0 })
+}
--- a/exchange/mesh.go
+++ b/exchange/mesh.go
@@ -14,11 +14,14 @@
 )
 
 const (
-	// reportPeriod is the time between two reports in a small fleet; with more
-	// than smallFleet daemons it grows in proportion, so that the messages that
-	// one daemon takes do not grow with the fleet.
+	// reportPeriod is the time between two reports to the daemons of the zone while
+	// these are few; with more than smallZone of them it grows in proportion, so
+	// that the messages that one daemon takes do not grow with the zone.
 	reportPeriod = 50 * time.Millisecond
-	smallFleet   = 6
+	smallZone    = 6
+	// farPeriod is the same towards all other daemons. Bytes between zones are
+	// dear, and calls go to servers of the own zone first.
+	farPeriod = 200 * time.Millisecond
 	// quietPeriod is the longest time without a report.
 	quietPeriod = 400 * time.Millisecond
 	// chargesPeriod is the time between two reports with charges and suspects.
@@ -59,13 +62,15 @@
 	peers map[string]*peer
 	// heard is until when the last report of a daemon counts, by its name.
 	heard map[string]time.Time
+	// packer is used by the goroutine that sends reports.
+	packer *packer
 	// reports and bytes are what was sent.
 	reports, bytes int64
 }
 
 // New starts a mesh. It ends with the context.
 func New(ctx context.Context, o Options) *Mesh {
-	m := &Mesh{o: o, ctx: ctx, peers: map[string]*peer{}, heard: map[string]time.Time{}}
+	m := &Mesh{o: o, ctx: ctx, peers: map[string]*peer{}, heard: map[string]time.Time{}, packer: newPacker()}
 	context.AfterFunc(ctx, func() { _ = o.Listener.Close() })
 	go m.accept()
 	go m.report()
@@ -155,10 +160,10 @@
 		}
 		known := append(m.Members(), m.o.Self.Address)
 		m.learn(v.Address)
-		return known, nil
+		return Welcome{Self: m.o.Self, Known: known}, nil
 	case methodReport:
-		var r Report
-		if err := json.Unmarshal(*q.Params, &r); err != nil {
+		r, err := unpack(*q.Params)
+		if err != nil {
 			m.o.Journal.Note("", "peer_report_unreadable", "error", err)
 			return nil, err
 		}
@@ -183,58 +188,102 @@
 	m.o.Import(r)
 }
 
-// report sends reports until the context ends.
+// linked takes over what a daemon said of itself and of others.
+func (m *Mesh) linked(p *peer, w Welcome) {
+	m.mu.Lock()
+	p.zone = w.Self.Zone
+	m.mu.Unlock()
+	for _, a := range w.Known {
+		m.learn(a)
+	}
+}
+
+// report sends reports until the context ends: each to the daemons of the zone, and
+// several as one to the others.
 func (m *Mesh) report() {
-	var sent, charged time.Time
-	for pause(m.ctx, m.period()) {
+	var sent, charged, sentFar time.Time
+	var far Report
+	for pause(m.ctx, m.period(true)) {
 		for _, s := range m.o.Seeds() {
 			m.learn(s)
 		}
 		now := time.Now()
 		charges := now.Sub(charged) >= chargesPeriod
-		r := m.o.Export(charges)
-		if r.empty() && now.Sub(sent) < quietPeriod {
-			continue
-		}
 		if charges {
 			charged = now
 		}
-		sent = now
-		r.From, r.Incarnation = m.o.Self.Name, m.o.Self.Incarnation
-		r.Every = max(m.period(), quietPeriod).Milliseconds()
-		m.broadcast(r)
+		r := m.o.Export(charges)
+		far = far.WithNext(r)
+		if !r.empty() || now.Sub(sent) >= quietPeriod {
+			sent = now
+			m.broadcast(r, true)
+		}
+		period := m.period(false)
+		if far.empty() {
+			period = max(period, quietPeriod)
+		}
+		if now.Sub(sentFar) >= period {
+			sentFar = now
+			m.broadcast(far, false)
+			far = Report{}
+		}
 	}
 }
 
 // empty reports whether a report says nothing.
 func (r Report) empty() bool {
-	return len(r.Place.Loads) == 0 && len(r.Place.Sent) == 0 && r.Charges == nil && len(r.Suspects) == 0
+	return len(r.Place.Loads) == 0 && len(r.Place.Sent) == 0 && r.Charges == nil && len(r.Totals) == 0 && len(r.Suspects) == 0
 }
 
-// period is the time between two reports.
-func (m *Mesh) period() time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return reportPeriod * time.Duration(max(len(m.peers), smallFleet)) / smallFleet
+// period is the time between two reports to the daemons of the zone, or to the
+// others.
+func (m *Mesh) period(near bool) time.Duration {
+	d := farPeriod
+	if near {
+		d = reportPeriod
+	}
+	return d * time.Duration(max(len(m.zonePeers(near)), smallZone)) / smallZone
 }
 
-// broadcast sends a report to all daemons. One that does not keep up misses it.
-func (m *Mesh) broadcast(r Report) {
-	data, err := json.Marshal(r)
+// broadcast sends a report to the daemons of the zone, or to the others. One that
+// does not keep up misses it.
+func (m *Mesh) broadcast(r Report, near bool) {
+	peers := m.zonePeers(near)
+	if len(peers) == 0 {
+		return
+	}
+	r.From, r.Incarnation = m.o.Self.Name, m.o.Self.Incarnation
+	r.Every = max(m.period(near), quietPeriod).Milliseconds()
+	data, err := m.packer.pack(r)
 	if err != nil {
 		m.o.Journal.Note("", "peer_report_failed", "error", err)
 		return
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, p := range m.peers {
+	sent := int64(0)
+	for _, p := range peers {
 		select {
 		case p.out <- data:
-			m.reports++
-			m.bytes += int64(len(data))
+			sent++
 		default:
 		}
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reports += sent
+	m.bytes += sent * int64(len(data))
+}
+
+// zonePeers returns the daemons of the zone, or all others.
+func (m *Mesh) zonePeers(near bool) []*peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var l []*peer
+	for _, p := range m.peers {
+		if (p.zone == m.o.Self.Zone) == near {
+			l = append(l, p)
+		}
+	}
+	return l
 }
 
 // pause waits for a time; it reports false if the context ended.
--- a/exchange/mesh_test.go
+++ b/exchange/mesh_test.go
@@ -2,15 +2,21 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/fair"
+	"github.com/wigeonladder/wigeonladder/place"
 )
 
 // network connects meshes by pipes on virtual time.
@@ -28,6 +34,7 @@
 	mesh   *Mesh
 	mu     sync.Mutex
 	heard  map[string]int
+	parts  map[string][]place.Sent
 	conns  []net.Conn
 	ended  chan struct{}
 	once   sync.Once
@@ -100,20 +107,29 @@
 
 // add starts a mesh.
 func (x *network) add(ctx context.Context, name string, seeds ...string) *node {
-	n := &node{net: x, name: name, accept: make(chan net.Conn), heard: map[string]int{}, ended: make(chan struct{})}
+	return x.addIn(ctx, "", name, func(bool) Report { return Report{} }, seeds...)
+}
+
+// addIn starts a mesh in a zone that sends reports.
+func (x *network) addIn(ctx context.Context, zone, name string, export func(bool) Report, seeds ...string) *node {
+	n := &node{
+		net: x, name: name, accept: make(chan net.Conn), heard: map[string]int{}, parts: map[string][]place.Sent{},
+		ended: make(chan struct{}),
+	}
 	x.mu.Lock()
 	x.nodes[name] = n
 	x.mu.Unlock()
 	n.mesh = New(ctx, Options{
-		Self:     Member{Name: name, Address: name, Incarnation: name},
+		Self:     Member{Name: name, Zone: zone, Address: name, Incarnation: name},
 		Listener: n,
 		Dial:     func(ctx context.Context, a string) (net.Conn, error) { return x.dial(ctx, name, a) },
 		Seeds:    func() []string { return seeds },
-		Export:   func(bool) Report { return Report{} },
+		Export:   export,
 		Import: func(r Report) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			n.heard[r.From]++
+			n.parts[r.From] = append(n.parts[r.From], r.Place.Sent...)
 		},
 		Journal: silent{},
 	})
@@ -176,3 +192,84 @@
 		}
 	})
 }
+
+// Guards against control traffic between zones that grows with the reports inside a
+// zone, and against parts of reports that are lost when several become one.
+func TestReportsBetweenZones(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			time.Sleep(time.Minute)
+		}()
+		x := &network{nodes: map[string]*node{}, cut: map[string]bool{}}
+		next := uint64(0)
+		export := func(bool) Report {
+			next++
+			return Report{Place: place.Report{Sent: []place.Sent{{Server: "s", Part: next, Tokens: 1}}}}
+		}
+		quiet := func(bool) Report { return Report{} }
+		x.addIn(ctx, "a", "from", export, "near", "far")
+		near := x.addIn(ctx, "a", "near", quiet)
+		far := x.addIn(ctx, "b", "far", quiet)
+		time.Sleep(5 * time.Second)
+		is.True(near.heard["from"] >= int(4*time.Second/reportPeriod))
+		is.True(far.heard["from"] <= int(5*time.Second/farPeriod)+1)
+		is.True(len(far.parts["from"]) > len(near.parts["from"])-int(farPeriod/reportPeriod)-5) // from the start of the links on
+		for i, p := range far.parts["from"][1:] {
+			is.Equal(p.Part, far.parts["from"][i].Part+1) // each part once
+		}
+	})
+}
+
+// Guards against a report that loses rows when it is joined with the next one, or
+// that keeps old ones.
+func TestReportWithNext(t *testing.T) {
+	is := is.New(t)
+	a := Report{
+		Place:   place.Report{Loads: []place.ServerLoad{{Server: "x", Running: 1}}, Sent: []place.Sent{{Server: "x", Part: 1}}},
+		Totals:  []fair.Total{{Workspace: "v", Asked: 1}, {Workspace: "w", Asked: 1}},
+		Charges: &wigeonladder.Charges{Home: "h", Rows: []wigeonladder.Charge{{Service: "s", Workspace: "v", Total: 1}}},
+	}
+	b := Report{
+		Place:    place.Report{Loads: []place.ServerLoad{{Server: "y", Running: 2}}, Sent: []place.Sent{{Server: "y", Part: 2}}},
+		Totals:   []fair.Total{{Workspace: "v", Asked: 5}},
+		Suspects: []wigeonladder.Suspicion{{Print: 7}},
+	}
+	got := a.WithNext(b)
+	is.Equal(got.Place.Loads, b.Place.Loads)
+	is.Equal(got.Place.Sent, []place.Sent{{Server: "x", Part: 1}, {Server: "y", Part: 2}})
+	is.Equal(got.Totals, []fair.Total{{Workspace: "v", Asked: 5}, {Workspace: "w", Asked: 1}})
+	is.Equal(got.Charges, a.Charges)
+	is.Equal(got.Suspects, b.Suspects)
+	is.Equal(Report{}.WithNext(a), a)
+}
+
+// Guards against reports that are spoilt on their way, that are hardly smaller than
+// what they say, and that fill the memory of the daemon that reads them.
+func TestPack(t *testing.T) {
+	is := is.New(t)
+	var r Report
+	for i := range 90 {
+		r.Place.Loads = append(r.Place.Loads, place.ServerLoad{Server: fmt.Sprintf("i-%010x", uint64(i)*2654435761), Running: i % 5, Unread: i * 91, Memory: i * 1003})
+	}
+	p := newPacker()
+	for range 2 {
+		data, err := p.pack(r)
+		is.NoErr(err)
+		plain, err := json.Marshal(r)
+		is.NoErr(err)
+		is.True(2*len(data) < len(plain))
+		got, err := unpack(data)
+		is.NoErr(err)
+		is.Equal(got, r)
+	}
+	big := Report{From: strings.Repeat("a", maxReport)}
+	data, err := p.pack(big)
+	is.NoErr(err)
+	_, err = unpack(data)
+	is.True(err != nil)
+	_, err = unpack(json.RawMessage(`{"z":"AAAA"}`))
+	is.True(err != nil)
+}
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -10,10 +10,9 @@
 
 // Methods of the protocol between daemons.
 const (
-	// methodHello names the caller and asks for the members that the other
-	// daemon knows.
+	// methodHello carries the Member that calls and is answered with a Welcome.
 	methodHello = "hello"
-	// methodReport carries a Report.
+	// methodReport carries a Report, packed.
 	methodReport = "report"
 )
 
@@ -26,6 +25,14 @@
 	Incarnation string `json:"i"`
 }
 
+// Welcome answers a hello.
+type Welcome struct {
+	// Self is the daemon that answers.
+	Self Member `json:"s"`
+	// Known are the addresses of the daemons that it knows.
+	Known []string `json:"k"`
+}
+
 // Life returns how long a report counts: until three of the next ones are missing.
 func (r Report) Life() time.Duration {
 	return min(max(3*time.Duration(r.Every)*time.Millisecond, lifeMin), lifeMax)
--- a/exchange/peer.go
+++ b/exchange/peer.go
@@ -20,6 +20,8 @@
 	mesh    *Mesh
 	address string
 	out     chan json.RawMessage
+	// zone is that of the daemon once it answered, guarded by the mesh.
+	zone string
 }
 
 // run keeps a connection to the daemon until the context ends or the daemon has
@@ -58,16 +60,14 @@
 	conn := newConn(ctx, c, jsonrpc2.HandlerWithError(p.mesh.serve))
 	defer func() { _ = conn.Close() }()
 	hello, cancel := context.WithTimeout(ctx, helloWithin)
-	var known []string
-	err = conn.Call(hello, methodHello, p.mesh.o.Self, &known)
+	var w Welcome
+	err = conn.Call(hello, methodHello, p.mesh.o.Self, &w)
 	cancel()
 	if err != nil {
 		return false
 	}
 	p.mesh.o.Journal.Note("", "peer_linked", "address", p.address)
-	for _, a := range known {
-		p.mesh.learn(a)
-	}
+	p.mesh.linked(p, w)
 	p.send(ctx, conn)
 	p.mesh.o.Journal.Note("", "peer_lost", "address", p.address)
 	return true
--- a/place/report.go
+++ b/place/report.go
@@ -1,6 +1,9 @@
 package place
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Sent tells that a shared prompt part was sent to a server.
 type Sent struct {
@@ -23,6 +26,12 @@
 	Sent  []Sent       `json:"p,omitempty"`
 }
 
+// WithNext returns one report that says what this one and a later one say.
+func (r Report) WithNext(next Report) Report {
+	sent := slices.Concat(r.Sent, next.Sent)
+	return Report{Loads: next.Loads, Sent: sent[max(len(sent)-maxSent, 0):]}
+}
+
 // maxSent bounds the parts kept for one report.
 const maxSent = 1000
 
