place: each subject has four homes in order, a short one in every zone

Calls with short parts went to another zone because a server there held 300 tokens, where the bytes cost more than reading them.

Further copies of a part now go to the next homes by rendezvous hashing. A subject of up to 2,000 tokens has homes in every zone, and what another zone holds of it does not count. A server in another zone counts 30 ms instead of 4 ms.

Tests: TestShortPartsStayInTheZone, TestDaemonsAgreeOnFurtherHomes (both fail on the code before), TestShortPartsLeaveAZoneWithoutServers.

--- a/place/cache.go
+++ b/place/cache.go
@@ -49,6 +49,18 @@
 	return 0
 }
 
+// subjectTokens is the length of the last shared part.
+func (c chain) subjectTokens() int {
+	if n := c.shared(); n > 0 {
+		return c.tokens[n-1]
+	}
+	return 0
+}
+
+// local reports whether the subject is so short that every zone keeps it: reading
+// it once more costs less than sending its calls to another zone.
+func (c chain) local() bool { return c.subjectTokens() <= localTokens }
+
 // cache is what an engine is believed to hold: the parts that were sent to it
 // last, up to its memory.
 type cache struct {
--- a/place/choose.go
+++ b/place/choose.go
@@ -18,11 +18,8 @@
 	// displaceWeight is how much a shared token that has to be read counts
 	// beyond its reading: a second copy displaces other parts.
 	displaceWeight = 2.0
-	// homeTime is the preference for the home of a subject that no server is
-	// known to hold, so that all daemons send it to the same one.
-	homeTime = 60 * time.Millisecond
 	// zoneTime is the disadvantage of a server in another zone.
-	zoneTime = 4 * time.Millisecond
+	zoneTime = 30 * time.Millisecond
 	// spareCalls is how many calls more than it has slots a plain server gets.
 	spareCalls = 2
 	// silenceMin and silenceMax bound how much longer than expected the first
@@ -44,51 +41,20 @@
 // choose returns the server with the lowest rank; nil if none takes calls.
 func (p *Pool) choose(g *group, j *Job, now time.Time) *option {
 	var best *option
-	home := p.home(g, j, now)
+	homes := p.homes(g, j, now)
 	for _, s := range g.order {
 		if !s.open(now) || j.Avoid[s.instance.ID] {
 			continue
 		}
-		if o := p.rate(s, j, home, now); best == nil || o.rank < best.rank {
+		if o := p.rate(s, j, homes, now); best == nil || o.rank < best.rank {
 			best = &o
 		}
 	}
 	return best
 }
 
-// home returns the server on which a subject is expected if no server is known
-// to hold it: the one with the highest hash of subject and server. It is nil for
-// a job without a subject, or with a holder.
-func (p *Pool) home(g *group, j *Job, now time.Time) *server {
-	subject := j.chain.subject()
-	if subject == 0 || g.engine == nil {
-		return nil
-	}
-	var home *server
-	var top uint64
-	for _, s := range g.order {
-		if !s.open(now) || j.Avoid[s.instance.ID] {
-			continue
-		}
-		if _, held := s.cache.parts[subject]; held {
-			return nil
-		}
-		if h := mix(subject ^ s.hash); home == nil || h > top {
-			home, top = s, h
-		}
-	}
-	return home
-}
-
-// mix spreads the bits of a number: the finalizer of SplitMix64.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // rate returns the option that a server is for a job.
-func (p *Pool) rate(s *server, j *Job, home *server, now time.Time) option {
+func (p *Pool) rate(s *server, j *Job, homes homes, now time.Time) option {
 	missing, shared := s.missing(j)
 	o := option{server: s, missing: missing, wait: s.wait()}
 	queued := s.queued
@@ -100,12 +66,14 @@
 	if s.engine != nil {
 		o.first += firstTokenTime
 	}
-	o.rank = o.wait + read + time.Duration((readTime(queued)+displaceWeight*readTime(shared))*s.pace) +
-		time.Duration(s.faults(now)*float64(faultTime))
-	if home != nil && home != s {
-		o.rank += homeTime
+	away := s.instance.Zone != p.o.Zone
+	if away && j.chain.local() {
+		shared = max(shared, j.chain.subjectTokens())
 	}
-	if s.instance.Zone != p.o.Zone {
+	weight := displaceWeight + homeStep*float64(homes.position(s))
+	o.rank = o.wait + read + time.Duration((readTime(queued)+weight*readTime(shared))*s.pace) +
+		time.Duration(s.faults(now)*float64(faultTime))
+	if away {
 		o.rank += zoneTime
 	}
 	return o
--- /dev/null
+++ b/place/home_test.go
@@ -0,0 +1,99 @@
+package place
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// short returns a job about a subject whose shared part is short.
+func (r *rig) short(subject string) *Job {
+	j := r.job("w", subject)
+	j.Prompt.Tokens = 1300
+	j.Prompt.Parts = []wigeonladder.PromptPart{{ID: subject, Tokens: 300}, {ID: j.ID, Tokens: 1000}}
+	return j
+}
+
+// Guards against calls with short shared parts that go to another zone because a
+// server there read them first.
+func TestShortPartsStayInTheZone(t *testing.T) {
+	bubble(t, 3, func(t *testing.T, a *rig) {
+		is := is.New(t)
+		b := newRig(t.Context(), "zone-b", 3)
+		for _, r := range []*rig{a, b} {
+			for i := range 3 {
+				r.Put(wigeonladder.Instance{ID: fmt.Sprintf("n%d", i), Service: "model", Zone: "zone-b", Slots: 8})
+			}
+		}
+		for s := range 12 {
+			subject := fmt.Sprintf("s%d", s)
+			la := a.acquire(t, a.short(subject))
+			is.Equal(la.Instance.Zone, "zone-a")
+			b.Import("a", a.Export(), time.Second)
+			lb := b.acquire(t, b.short(subject))
+			is.Equal(lb.Instance.Zone, "zone-b")
+			finish(la)
+			finish(lb)
+			a.Import("b", b.Export(), time.Second)
+			again := a.acquire(t, a.short(subject))
+			is.Equal(again.Instance.ID, la.Instance.ID)
+			is.Equal(again.Held, 300)
+			finish(again)
+		}
+	})
+}
+
+// Guards against a short part that waits for its zone while only another zone has
+// servers that take calls.
+func TestShortPartsLeaveAZoneWithoutServers(t *testing.T) {
+	bubble(t, 2, func(t *testing.T, _ *rig) {
+		b := newRig(t.Context(), "zone-b", 2)
+		l := b.acquire(t, b.short("s"))
+		is.New(t).Equal(l.Instance.Zone, "zone-a")
+		finish(l)
+	})
+}
+
+// Guards against daemons that put further copies of a part on different servers
+// when its first home is busy, because what they believe of the other servers
+// differs.
+func TestDaemonsAgreeOnFurtherHomes(t *testing.T) {
+	bubble(t, 12, func(t *testing.T, a *rig) {
+		const seed = 5
+		t.Logf("seed %d", seed)
+		random := rand.New(rand.NewPCG(seed, seed))
+		b := newRig(t.Context(), "zone-b", 12)
+		for s := range 12 {
+			subject := fmt.Sprintf("s%d", s)
+			used := map[string]bool{}
+			for _, r := range []*rig{a, b} {
+				for i := range 12 {
+					r.services["model"].servers[fmt.Sprintf("m%d", i)].own.unread = random.IntN(500)
+				}
+			}
+			for range 3 {
+				la, lb := a.acquire(t, a.job("w", subject)), b.acquire(t, b.job("w", subject))
+				is.New(t).Equal(la.Instance.ID, lb.Instance.ID)
+				used[la.Instance.ID] = true
+				for _, l := range []*Lease{la, lb} {
+					l.pool.mu.Lock()
+					l.server.own.unread += 1 << 20
+					l.pool.mu.Unlock()
+				}
+			}
+			is.New(t).Equal(len(used), 3)
+			for _, r := range []*rig{a, b} {
+				r.mu.Lock()
+				for _, x := range r.services["model"].servers {
+					x.own = load{}
+				}
+				r.mu.Unlock()
+			}
+		}
+	})
+}
--- a/place/wait.go
+++ b/place/wait.go
@@ -133,7 +133,7 @@
 		if !j.at.open(now) || !p.hasRoom(g, j.at, j.at.wait(), j, standing) {
 			continue
 		}
-		r := p.rate(j.at, j, nil, now)
+		r := p.rate(j.at, j, homes{}, now)
 		o := &r
 		if !j.late(now, o.first) {
 			return j, o
