setting, edge: the store is read as often as the bounds of the platform need

The settings apply and leave carry the bounds, and the pause is 0.4 of the shorter one: 0.8 s as before on the standard sites, 1.2 s on the grown ones.

Test: TestParseEdge reads both settings and rejects 400 ms.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -32,11 +32,11 @@
 	// storeWait is how long one watch of the store waits. Each answer confirms
 	// that the keys are those in force.
 	storeWait = 700 * time.Millisecond
-	// storePause is the time between two watches, in which changes gather: the
-	// entries of backend servers change at every heartbeat, and each call of the
-	// store counts. It is well below the time in which changes have to be in
-	// force.
-	storePause = 800 * time.Millisecond
+	// pauseShare is the time between two watches, in which changes gather, as a part
+	// of the time in which changes have to be in force: the entries of backend
+	// servers change at every heartbeat, and each call of the store counts. A slow
+	// answer and one lost call fit into the rest.
+	pauseShare = 0.4
 	// trustMargin is taken off the time for which keys are trusted. It covers a
 	// watch that hears of a change only a second after it.
 	trustMargin = 1300 * time.Millisecond
@@ -200,13 +200,18 @@
 		return servers
 	}
 	go inventory.Follow(ctx, inventory.Options{
-		Store: p.Store, Wait: storeWait, Pause: storePause,
+		Store: p.Store, Wait: storeWait, Pause: storePause(d.settings),
 		Reset:   func(items []inventory.Item) { d.roster.Reset(split(items)) },
 		Apply:   func(items []inventory.Item) { d.roster.Apply(split(items)) },
 		Confirm: d.book.Confirm, Regained: d.roster.Regained, Now: uptime, Journal: d.journal,
 	})
 }
 
+// storePause is the time between two watches of the store.
+func storePause(s setting.Edge) time.Duration {
+	return time.Duration(pauseShare * float64(min(s.Apply, s.Leave)))
+}
+
 // configure puts a configuration in force.
 func (d *Daemon) configure(i inventory.Item) {
 	doc, err := d.platform.ParseConfig(i.Value)
--- a/setting/edge.go
+++ b/setting/edge.go
@@ -28,10 +28,18 @@
 	// KeyTrust is how long an API key is accepted after it was withdrawn, at the
 	// most; 0 for no bound.
 	KeyTrust Duration `json:"keyTrust"`
+	// Apply is the time within which a changed configuration is in force, Leave that
+	// within which a leaving backend server gets no more calls.
+	Apply Duration `json:"apply"`
+	Leave Duration `json:"leave"`
 	// Retry bounds second sendings over all daemons.
 	Retry Retry `json:"retry"`
 }
 
+// minApply is the shortest time that Apply and Leave may have: the store is read a
+// few times within it.
+const minApply = 500 * time.Millisecond
+
 // Retry bounds second sendings of calls to one service over all daemons: in each
 // period a part of its calls, and a number beyond these. Both are decimal
 // fractions in quotes, since the numbers in settings are whole.
@@ -48,6 +56,8 @@
 		Memory: 256,
 		Files:  4096,
 		Grace:  Duration(8 * time.Second),
+		Apply:  Duration(2 * time.Second),
+		Leave:  Duration(2 * time.Second),
 		Retry:  Retry{Ratio: 0.1, Slack: 10, Period: Duration(10 * time.Second)},
 	}
 }
@@ -65,6 +75,14 @@
 		if s.Metrics != "" {
 			c.unique(listens, s.Metrics, "metrics", "address")
 		}
+		for _, x := range []struct {
+			key   string
+			value Duration
+		}{{"apply", s.Apply}, {"leave", s.Leave}} {
+			if time.Duration(x.value) < minApply {
+				c.refer(x.key, "must be at least %s", minApply)
+			}
+		}
 		if s.Retry.Period <= 0 {
 			c.refer("retry.period", "must be longer than 0s")
 		}
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -223,16 +223,18 @@
 func TestParseEdge(t *testing.T) {
 	is := is.New(t)
 	s, err := ParseEdge("edge.json", []byte(`{"name":"e","zone":"z","front":"127.0.0.1:1","ready":"127.0.0.1:2",
-		"peer":"127.0.0.1:3","store":"127.0.0.1:4","seeds":["127.0.0.1:5"],"keyTrust":"5000ms","grace":"8s",
+		"peer":"127.0.0.1:3","store":"127.0.0.1:4","seeds":["127.0.0.1:5"],"keyTrust":"5000ms","grace":"8s","apply":"3000ms","leave":"2500ms",
 		"retry":{"ratio":"0.2","slack":"54","period":"10s"},"memory":414,"files":6150}`))
 	is.NoErr(err)
 	is.Equal(s.Retry, Retry{Ratio: 0.2, Slack: 54, Period: Duration(10 * time.Second)})
 	is.Equal(s.KeyTrust, Duration(5*time.Second))
+	is.Equal([]Duration{s.Apply, s.Leave}, []Duration{Duration(3 * time.Second), Duration(2500 * time.Millisecond)})
 	is.Equal([]int{s.Memory, s.Files}, []int{414, 6150})
 	s, err = ParseEdge("edge.json", []byte(`{"name":"e","zone":"z","front":"127.0.0.1:1","ready":"127.0.0.1:2","peer":"127.0.0.1:3","store":"127.0.0.1:4"}`))
 	is.NoErr(err)
 	is.Equal(s.Retry, DefaultEdge().Retry)
-	for _, bad := range []string{`{}`, `{"name":"e","zone":"z","front":"127.0.0.1:1","ready":"127.0.0.1:2","peer":"127.0.0.1:3","store":"127.0.0.1:4","new":1}`} {
+	for _, bad := range []string{`{}`, `{"name":"e","zone":"z","front":"127.0.0.1:1","ready":"127.0.0.1:2","peer":"127.0.0.1:3","store":"127.0.0.1:4","new":1}`,
+		`{"name":"e","zone":"z","front":"127.0.0.1:1","ready":"127.0.0.1:2","peer":"127.0.0.1:3","store":"127.0.0.1:4","leave":"400ms"}`} {
 		_, err = ParseEdge("edge.json", []byte(bad))
 		is.True(err != nil)
 	}
