fair: a workspace lacks service only by a part of the level

One large call of a small workspace that waits made that workspace lack service, and all others were barred above the level. Ruled out: calls within the share that are refused (1 of 600).

A workspace lacks service if it gets less than 0.6 of what it asks for, less a sixteenth of the level.

Test: TestOneCallIsNoLack.

--- a/fair/window.go
+++ b/fair/window.go
@@ -30,6 +30,10 @@
 	// holds others back; one that gets nearly all of it only has calls that come
 	// late.
 	wanting = 0.6
+	// lackShare is the part of the level by which a workspace has to be below that.
+	// Otherwise one large call that waits makes a small workspace, which is served
+	// first anyway, hold back all others while servers are idle.
+	lackShare = 1.0 / 16
 	// maxWindowRows bounds the workspaces of one window.
 	maxWindowRows = 4096
 )
@@ -227,18 +231,26 @@
 	}
 	w.levelAt = now
 	demands := make([]float64, 0, len(w.rows))
-	w.hasLeast = false
-	w.lead = minLead + (maxLead-minLead)*smallFleet/float64(max(w.daemons(), smallFleet))
 	for _, r := range w.rows {
-		got, asked := r.got.sum(w.step(now)), r.asked.sum(w.step(now))
-		if asked > 0 {
+		if asked := r.asked.sum(w.step(now)); asked > 0 {
 			demands = append(demands, asked)
 		}
-		if now.Sub(r.restrained) < restrainedFor && got < wanting*asked && (!w.hasLeast || got < w.least) {
+	}
+	w.level = level(demands, w.capacity*(windowStep*windowSteps).Seconds())
+	w.lead = minLead + (maxLead-minLead)*smallFleet/float64(max(w.daemons(), smallFleet))
+	w.hasLeast = false
+	for _, r := range w.rows {
+		if got := r.got.sum(w.step(now)); w.lacks(r, got, now) && (!w.hasLeast || got < w.least) {
 			w.least, w.hasLeast = got, true
 		}
 	}
-	w.level = level(demands, w.capacity*(windowStep*windowSteps).Seconds())
+}
+
+// lacks reports whether a workspace gets so much less than it asks for that it holds
+// others back.
+func (w *Window) lacks(r *windowRow, got float64, now time.Time) bool {
+	asked := r.asked.sum(w.step(now))
+	return now.Sub(r.restrained) < restrainedFor && got < wanting*asked-lackShare*w.level
 }
 
 // level returns the max-min level of demands for a capacity; 0 if the capacity is
--- a/fair/window_test.go
+++ b/fair/window_test.go
@@ -123,3 +123,22 @@
 		is.Equal(standing(30, 1010), Beyond)
 	})
 }
+
+// Guards against a fleet that leaves servers idle because one large call of a small
+// workspace waits, and against a workspace of ordinary size that is forgotten.
+func TestOneCallIsNoLack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		standing := func(starved int64) Standing {
+			w := NewWindow(nil)
+			w.SetCapacity(10000)
+			w.Asked("large", 400000)
+			w.Got("large", 200000)
+			w.Asked("starved", starved)
+			w.Restrained("starved")
+			return w.Standing("large")
+		}
+		is.Equal(standing(3000), Beyond)
+		is.Equal(standing(20000), Barred)
+	})
+}
