exchange: one daemon of each zone relays its reports to the other zones

The daemon with the first name of a zone relays the newest reports of its zone every 150 ms to one daemon of each other zone, which passes them on. A link of another daemon takes each relay, so that a dead one costs little. Numbers of reports tell those that came twice or late.

Tests: TestReportsBetweenZones, TestRelayIsReplaced, TestOldReportsAreDropped.

--- a/exchange/mesh.go
+++ b/exchange/mesh.go
@@ -19,9 +19,10 @@
 	// that the messages that one daemon takes do not grow with the zone.
 	reportPeriod = 50 * time.Millisecond
 	smallZone    = 6
-	// farPeriod is the same towards all other daemons. Bytes between zones are
-	// dear, and calls go to servers of the own zone first.
-	farPeriod = 200 * time.Millisecond
+	// relayPeriod is the time between two relays to other zones while the zone has
+	// few daemons. Bytes between zones are dear; with reports of 600 ms of age, one
+	// server got several calls too many from daemons of other zones.
+	relayPeriod = 150 * time.Millisecond
 	// quietPeriod is the longest time without a report.
 	quietPeriod = 400 * time.Millisecond
 	// chargesPeriod is the time between two reports with charges and suspects.
@@ -60,8 +61,12 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
-	// heard is until when the last report of a daemon counts, by its name.
-	heard map[string]time.Time
+	// heard is what was heard of other daemons, by name.
+	heard map[string]origin
+	// pending are the reports of this zone that were not relayed yet, by name.
+	pending map[string]Report
+	// turn counts relays, so that they go to another daemon of a zone each time.
+	turn int
 	// packer is used by the goroutine that sends reports.
 	packer *packer
 	// reports and bytes are what was sent.
@@ -70,7 +75,7 @@
 
 // New starts a mesh. It ends with the context.
 func New(ctx context.Context, o Options) *Mesh {
-	m := &Mesh{o: o, ctx: ctx, peers: map[string]*peer{}, heard: map[string]time.Time{}, packer: newPacker()}
+	m := &Mesh{o: o, ctx: ctx, peers: map[string]*peer{}, heard: map[string]origin{}, pending: map[string]Report{}, packer: newPacker()}
 	context.AfterFunc(ctx, func() { _ = o.Listener.Close() })
 	go m.accept()
 	go m.report()
@@ -82,8 +87,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	n := 1
-	for _, until := range m.heard {
-		if time.Now().Before(until) {
+	for _, o := range m.heard {
+		if time.Now().Before(o.until) {
 			n++
 		}
 	}
@@ -119,7 +124,7 @@
 	if m.peers[address] != nil {
 		return
 	}
-	p := &peer{mesh: m, address: address, out: make(chan json.RawMessage, outQueue)}
+	p := &peer{mesh: m, address: address, out: make(chan message, outQueue)}
 	m.peers[address] = p
 	go p.run(m.ctx)
 }
@@ -161,49 +166,77 @@
 		known := append(m.Members(), m.o.Self.Address)
 		m.learn(v.Address)
 		return Welcome{Self: m.o.Self, Known: known}, nil
-	case methodReport:
-		r, err := unpack(*q.Params)
+	case methodReport, methodRelay, methodRelayed:
+		l, err := unpack(*q.Params)
 		if err != nil {
 			m.o.Journal.Note("", "peer_report_unreadable", "error", err)
 			return nil, err
 		}
-		m.take(r)
+		m.receive(q.Method, l, *q.Params)
 		return nil, nil
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: q.Method}
 }
 
-// take takes over a report.
-func (m *Mesh) take(r Report) {
+// receive takes over reports. Those that come from another zone are passed on to
+// the daemons of this one.
+func (m *Mesh) receive(method string, l []Report, params json.RawMessage) {
+	fresh := false
+	for _, r := range l {
+		fresh = m.take(r, method == methodReport) || fresh
+	}
+	if fresh && method == methodRelay {
+		m.send(m.zonePeers(true), message{methodRelayed, params})
+	}
+}
+
+// take takes over a report; it is false for one that is not newer than the last one
+// of that daemon. A direct report comes from a daemon of this zone.
+func (m *Mesh) take(r Report, direct bool) bool {
 	if r.From == m.o.Self.Name {
-		return
+		return false
 	}
+	now := time.Now()
 	m.mu.Lock()
-	until := m.heard[r.From]
-	m.heard[r.From] = time.Now().Add(r.Life())
+	last := m.heard[r.From]
+	if last.incarnation == r.Incarnation && r.Number <= last.number {
+		m.mu.Unlock()
+		return false
+	}
+	m.heard[r.From] = origin{incarnation: r.Incarnation, number: r.Number, until: now.Add(r.Life()), direct: direct}
+	if direct {
+		m.pending[r.From] = m.pending[r.From].WithNext(r)
+	}
 	m.mu.Unlock()
-	if time.Now().After(until) {
+	if now.After(last.until) {
 		m.o.Journal.Note("", "peer_heard", "peer", r.From, "incarnation", r.Incarnation)
 	}
 	m.o.Import(r)
+	return true
 }
 
 // linked takes over what a daemon said of itself and of others.
 func (m *Mesh) linked(p *peer, w Welcome) {
 	m.mu.Lock()
-	p.zone = w.Self.Zone
+	p.zone, p.linked = w.Self.Zone, true
 	m.mu.Unlock()
 	for _, a := range w.Known {
 		m.learn(a)
 	}
 }
 
-// report sends reports until the context ends: each to the daemons of the zone, and
-// several as one to the others.
+// unlinked notes the end of the connection to a daemon.
+func (m *Mesh) unlinked(p *peer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p.linked = false
+}
+
+// report sends reports to the daemons of the zone, and relays those of the zone to
+// other zones if that is up to this daemon, until the context ends.
 func (m *Mesh) report() {
-	var sent, charged, sentFar time.Time
-	var far Report
-	for pause(m.ctx, m.period(true)) {
+	var sent, charged, relayed time.Time
+	for number := int64(1); pause(m.ctx, m.period(reportPeriod)); {
 		for _, s := range m.o.Seeds() {
 			m.learn(s)
 		}
@@ -212,65 +245,39 @@
 		if charges {
 			charged = now
 		}
-		r := m.o.Export(charges)
-		far = far.WithNext(r)
-		if !r.empty() || now.Sub(sent) >= quietPeriod {
+		if r := m.o.Export(charges); !r.empty() || now.Sub(sent) >= quietPeriod {
 			sent = now
-			m.broadcast(r, true)
-		}
-		period := m.period(false)
-		if far.empty() {
-			period = max(period, quietPeriod)
+			m.broadcast(r, number)
+			number++
 		}
-		if now.Sub(sentFar) >= period {
-			sentFar = now
-			m.broadcast(far, false)
-			far = Report{}
+		if now.Sub(relayed) >= m.period(relayPeriod) {
+			relayed = now
+			m.relay()
 		}
 	}
 }
 
+// broadcast sends a report to the daemons of the zone.
+func (m *Mesh) broadcast(r Report, number int64) {
+	r.From, r.Incarnation, r.Number = m.o.Self.Name, m.o.Self.Incarnation, number
+	r.Every = max(m.period(reportPeriod), quietPeriod).Milliseconds()
+	m.mu.Lock()
+	m.pending[r.From] = m.pending[r.From].WithNext(r)
+	m.mu.Unlock()
+	if peers := m.zonePeers(true); len(peers) > 0 {
+		m.pack(methodReport, []Report{r}, peers)
+	}
+}
+
 // empty reports whether a report says nothing.
 func (r Report) empty() bool {
 	return len(r.Place.Loads) == 0 && len(r.Place.Sent) == 0 && r.Charges == nil && len(r.Totals) == 0 && len(r.Suspects) == 0
 }
 
-// period is the time between two reports to the daemons of the zone, or to the
-// others.
-func (m *Mesh) period(near bool) time.Duration {
-	d := farPeriod
-	if near {
-		d = reportPeriod
-	}
-	return d * time.Duration(max(len(m.zonePeers(near)), smallZone)) / smallZone
-}
-
-// broadcast sends a report to the daemons of the zone, or to the others. One that
-// does not keep up misses it.
-func (m *Mesh) broadcast(r Report, near bool) {
-	peers := m.zonePeers(near)
-	if len(peers) == 0 {
-		return
-	}
-	r.From, r.Incarnation = m.o.Self.Name, m.o.Self.Incarnation
-	r.Every = max(m.period(near), quietPeriod).Milliseconds()
-	data, err := m.packer.pack(r)
-	if err != nil {
-		m.o.Journal.Note("", "peer_report_failed", "error", err)
-		return
-	}
-	sent := int64(0)
-	for _, p := range peers {
-		select {
-		case p.out <- data:
-			sent++
-		default:
-		}
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.reports += sent
-	m.bytes += sent * int64(len(data))
+// period is the time between two messages in a zone of this size, given that in a
+// small one.
+func (m *Mesh) period(small time.Duration) time.Duration {
+	return small * time.Duration(max(len(m.zonePeers(true)), smallZone)) / smallZone
 }
 
 // zonePeers returns the daemons of the zone, or all others.
@@ -286,6 +293,30 @@
 	return l
 }
 
+// pack sends reports to peers.
+func (m *Mesh) pack(method string, l []Report, to []*peer) {
+	data, err := m.packer.pack(l)
+	if err != nil {
+		m.o.Journal.Note("", "peer_report_failed", "error", err)
+		return
+	}
+	m.send(to, message{method, data})
+}
+
+// send sends a message to peers. One that does not keep up misses it.
+func (m *Mesh) send(to []*peer, x message) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range to {
+		select {
+		case p.out <- x:
+			m.reports++
+			m.bytes += int64(len(x.params))
+		default:
+		}
+	}
+}
+
 // pause waits for a time; it reports false if the context ended.
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/exchange/mesh_test.go
+++ b/exchange/mesh_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -65,6 +66,13 @@
 // Addr implements net.Listener.
 func (n *node) Addr() net.Addr { return nil }
 
+// from returns how often a daemon was heard, and the parts that it reported.
+func (n *node) from(name string) (heard int, parts []place.Sent) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.heard[name], slices.Clone(n.parts[name])
+}
+
 // dial connects to a node.
 func (x *network) dial(ctx context.Context, from, to string) (net.Conn, error) {
 	x.mu.Lock()
@@ -193,36 +201,93 @@
 	})
 }
 
-// Guards against control traffic between zones that grows with the reports inside a
-// zone, and against parts of reports that are lost when several become one.
-func TestReportsBetweenZones(t *testing.T) {
+// zones runs a test with two daemons in each of two zones: a0 and b0, which relay, and
+// a1 and b1, which send a part with each report.
+func zones(t *testing.T, test func(*testing.T, *network, map[string]*node)) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer func() {
 			cancel()
 			time.Sleep(time.Minute)
 		}()
 		x := &network{nodes: map[string]*node{}, cut: map[string]bool{}}
-		next := uint64(0)
-		export := func(bool) Report {
-			next++
-			return Report{Place: place.Report{Sent: []place.Sent{{Server: "s", Part: next, Tokens: 1}}}}
-		}
 		quiet := func(bool) Report { return Report{} }
-		x.addIn(ctx, "a", "from", export, "near", "far")
-		near := x.addIn(ctx, "a", "near", quiet)
-		far := x.addIn(ctx, "b", "far", quiet)
+		for _, zone := range []string{"a", "b"} {
+			next := uint64(0)
+			export := func(bool) Report {
+				next++
+				return Report{Place: place.Report{Sent: []place.Sent{{Server: "s", Part: next, Tokens: 1}}}}
+			}
+			x.addIn(ctx, zone, zone+"1", export, "a0", "b0")
+			x.addIn(ctx, zone, zone+"0", quiet, "a0", "b0")
+		}
 		time.Sleep(5 * time.Second)
-		is.True(near.heard["from"] >= int(4*time.Second/reportPeriod))
-		is.True(far.heard["from"] <= int(5*time.Second/farPeriod)+1)
-		is.True(len(far.parts["from"]) > len(near.parts["from"])-int(farPeriod/reportPeriod)-5) // from the start of the links on
-		for i, p := range far.parts["from"][1:] {
-			is.Equal(p.Part, far.parts["from"][i].Part+1) // each part once
+		test(t, x, x.nodes)
+	})
+}
+
+// Guards against control traffic between zones that grows with the daemons and the
+// reports inside a zone, and against reports that are lost or come twice when they
+// are relayed.
+func TestReportsBetweenZones(t *testing.T) {
+	zones(t, func(t *testing.T, _ *network, nodes map[string]*node) {
+		is := is.New(t)
+		heard, _ := nodes["a0"].from("a1")
+		is.True(heard >= int(4*time.Second/reportPeriod))
+		for _, name := range []string{"b0", "b1"} {
+			n := nodes[name]
+			is.Equal(n.mesh.Alive(), 4)
+			heard, parts := n.from("a1")
+			is.True(heard <= int(5*time.Second/relayPeriod)+1)
+			is.True(heard >= int(3*time.Second/relayPeriod))
+			linked := parts[int(time.Second/reportPeriod):]
+			for i, p := range linked {
+				is.Equal(p.Part, linked[0].Part+uint64(i)) // each part once
+			}
 		}
 	})
 }
 
+// Guards against a zone that nobody hears any more because the daemon that relayed for
+// it is gone, or because the one to which others relayed is.
+func TestRelayIsReplaced(t *testing.T) {
+	zones(t, func(t *testing.T, x *network, nodes map[string]*node) {
+		is := is.New(t)
+		x.isolate("a0", true)
+		x.isolate("b1", true)
+		time.Sleep(3 * time.Second)
+		before, _ := nodes["b0"].from("a1")
+		time.Sleep(3 * time.Second)
+		after, _ := nodes["b0"].from("a1")
+		is.True(after > before)
+		is.Equal(nodes["b0"].mesh.Alive(), 2)
+		x.isolate("a0", false)
+		x.isolate("b1", false)
+		time.Sleep(10 * time.Second)
+		for _, n := range nodes {
+			is.Equal(n.mesh.Alive(), 4)
+		}
+	})
+}
+
+// Guards against an older report that replaces a newer one, and against a daemon that
+// is not believed after a restart.
+func TestOldReportsAreDropped(t *testing.T) {
+	is := is.New(t)
+	taken := 0
+	m := &Mesh{
+		o:     Options{Self: Member{Name: "self"}, Import: func(Report) { taken++ }, Journal: silent{}},
+		heard: map[string]origin{}, pending: map[string]Report{},
+	}
+	for i, want := range []bool{true, false, true, false, true} {
+		number := []int64{2, 1, 3, 3, 1}[i]
+		incarnation := []string{"a", "a", "a", "a", "b"}[i]
+		is.Equal(m.take(Report{From: "x", Incarnation: incarnation, Number: number}, false), want)
+	}
+	is.Equal(taken, 3)
+	is.True(!m.take(Report{From: "self", Number: 9}, true))
+}
+
 // Guards against a report that loses rows when it is joined with the next one, or
 // that keeps old ones.
 func TestReportWithNext(t *testing.T) {
@@ -244,6 +309,7 @@
 	is.Equal(got.Charges, a.Charges)
 	is.Equal(got.Suspects, b.Suspects)
 	is.Equal(Report{}.WithNext(a), a)
+	is.Equal(a.WithNext(Report{From: "f", Incarnation: "i", Number: 3, Every: 4}).Number, int64(3))
 }
 
 // Guards against reports that are spoilt on their way, that are hardly smaller than
@@ -256,17 +322,16 @@
 	}
 	p := newPacker()
 	for range 2 {
-		data, err := p.pack(r)
+		data, err := p.pack([]Report{r})
 		is.NoErr(err)
 		plain, err := json.Marshal(r)
 		is.NoErr(err)
 		is.True(2*len(data) < len(plain))
 		got, err := unpack(data)
 		is.NoErr(err)
-		is.Equal(got, r)
+		is.Equal(got, []Report{r})
 	}
-	big := Report{From: strings.Repeat("a", maxReport)}
-	data, err := p.pack(big)
+	data, err := p.pack([]Report{{From: strings.Repeat("a", maxUnpacked)}})
 	is.NoErr(err)
 	_, err = unpack(data)
 	is.True(err != nil)
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -12,8 +12,12 @@
 const (
 	// methodHello carries the Member that calls and is answered with a Welcome.
 	methodHello = "hello"
-	// methodReport carries a Report, packed.
+	// methodReport carries the Report of the sender to the daemons of its zone.
 	methodReport = "report"
+	// methodRelay carries the Reports of a zone to a daemon of another one, which
+	// passes them on to its zone by methodRelayed.
+	methodRelay   = "relay"
+	methodRelayed = "relayed"
 )
 
 // Member is one daemon.
@@ -49,6 +53,8 @@
 	From string `json:"f"`
 	// Incarnation tells reports of two starts of a daemon apart.
 	Incarnation string `json:"i"`
+	// Number counts the reports of the incarnation.
+	Number int64 `json:"k"`
 	// Every is the longest time between two reports in milliseconds.
 	Every   int64                 `json:"e"`
 	Place   place.Report          `json:"p"`
--- a/exchange/pack.go
+++ b/exchange/pack.go
@@ -9,12 +9,12 @@
 	"github.com/pkg/errors"
 )
 
-// maxReport bounds an unpacked report in bytes. That of a daemon before 6,200
-// backend servers has about half of it.
-const maxReport = 1 << 20
+// maxUnpacked bounds unpacked reports in bytes. Those of 20 daemons before 6,200
+// backend servers have about half of it.
+const maxUnpacked = 8 << 20
 
-// packed is a report on its way: compressed JSON. Names of servers and workspaces
-// recur in all rows, so that a report shrinks to a quarter.
+// packed are reports on their way: compressed JSON. Names of servers and workspaces
+// recur in all rows, so that reports shrink to a quarter.
 type packed struct {
 	Data []byte `json:"z"`
 }
@@ -34,28 +34,28 @@
 	return p
 }
 
-// pack returns a report as the parameters of a notification.
-func (p *packer) pack(r Report) (json.RawMessage, error) {
+// pack returns reports as the parameters of a notification.
+func (p *packer) pack(l []Report) (json.RawMessage, error) {
 	p.buffer.Reset()
 	p.compressor.Reset(&p.buffer)
-	if err := json.NewEncoder(p.compressor).Encode(r); err != nil {
-		return nil, errors.Wrap(err, "pack report")
+	if err := json.NewEncoder(p.compressor).Encode(l); err != nil {
+		return nil, errors.Wrap(err, "pack reports")
 	}
 	if err := p.compressor.Close(); err != nil {
-		return nil, errors.Wrap(err, "pack report")
+		return nil, errors.Wrap(err, "pack reports")
 	}
 	return json.Marshal(packed{p.buffer.Bytes()})
 }
 
-// unpack returns the report in the parameters of a notification.
-func unpack(params json.RawMessage) (Report, error) {
-	var r Report
+// unpack returns the reports in the parameters of a notification.
+func unpack(params json.RawMessage) ([]Report, error) {
 	var p packed
 	if err := json.Unmarshal(params, &p); err != nil {
-		return r, errors.Wrap(err, "unpack report")
+		return nil, errors.Wrap(err, "unpack reports")
 	}
 	f := flate.NewReader(bytes.NewReader(p.Data))
 	defer func() { _ = f.Close() }()
-	err := json.NewDecoder(io.LimitReader(f, maxReport)).Decode(&r)
-	return r, errors.Wrap(err, "unpack report")
+	var l []Report
+	err := json.NewDecoder(io.LimitReader(f, maxUnpacked)).Decode(&l)
+	return l, errors.Wrap(err, "unpack reports")
 }
--- a/exchange/peer.go
+++ b/exchange/peer.go
@@ -15,13 +15,21 @@
 // outQueue is the number of reports that wait for a peer.
 const outQueue = 8
 
+// message is one notification.
+type message struct {
+	method string
+	params json.RawMessage
+}
+
 // peer is the way to one other daemon.
 type peer struct {
 	mesh    *Mesh
 	address string
-	out     chan json.RawMessage
-	// zone is that of the daemon once it answered, guarded by the mesh.
-	zone string
+	out     chan message
+	// zone is that of the daemon once it answered, and linked is true while there is
+	// a connection. The mesh guards both.
+	zone   string
+	linked bool
 }
 
 // run keeps a connection to the daemon until the context ends or the daemon has
@@ -68,6 +76,7 @@
 	}
 	p.mesh.o.Journal.Note("", "peer_linked", "address", p.address)
 	p.mesh.linked(p, w)
+	defer p.mesh.unlinked(p)
 	p.send(ctx, conn)
 	p.mesh.o.Journal.Note("", "peer_lost", "address", p.address)
 	return true
@@ -81,8 +90,8 @@
 			return
 		case <-conn.DisconnectNotify():
 			return
-		case r := <-p.out:
-			if err := conn.Notify(ctx, methodReport, r); err != nil {
+		case x := <-p.out:
+			if err := conn.Notify(ctx, x.method, x.params); err != nil {
 				return
 			}
 		}
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -233,8 +233,10 @@
 	s, err = ParseEdge("edge.json", []byte(`{"name":"e","zone":"z","front":"127.0.0.1:1","ready":"127.0.0.1:2","peer":"127.0.0.1:3","store":"127.0.0.1:4"}`))
 	is.NoErr(err)
 	is.Equal(s.Retry, DefaultEdge().Retry)
-	for _, bad := range []string{`{}`, `{"name":"e","zone":"z","front":"127.0.0.1:1","ready":"127.0.0.1:2","peer":"127.0.0.1:3","store":"127.0.0.1:4","new":1}`,
-		`{"name":"e","zone":"z","front":"127.0.0.1:1","ready":"127.0.0.1:2","peer":"127.0.0.1:3","store":"127.0.0.1:4","leave":"400ms"}`} {
+	for _, bad := range []string{
+		`{}`, `{"name":"e","zone":"z","front":"127.0.0.1:1","ready":"127.0.0.1:2","peer":"127.0.0.1:3","store":"127.0.0.1:4","new":1}`,
+		`{"name":"e","zone":"z","front":"127.0.0.1:1","ready":"127.0.0.1:2","peer":"127.0.0.1:3","store":"127.0.0.1:4","leave":"400ms"}`,
+	} {
 		_, err = ParseEdge("edge.json", []byte(bad))
 		is.True(err != nil)
 	}
