place: the pace of a server is learned slowly

Cause: a late first token was taken for a slow server, with a weight of 0.1 for each. It mostly tells of calls of other daemons that were not known when the call was sent: servers came to look up to eight times as slow as they are, calls were refused beside idle servers, and others went where their parts are not. Servers that really are slow are told by their silence.

Test: TestPaceIsLearnedSlowly, which fails with a weight of 0.1.

--- a/place/pool_test.go
+++ b/place/pool_test.go
@@ -375,3 +375,22 @@
 		silent.End(Left)
 	})
 }
+
+// Guards against a server that is taken for slow because unknown calls of other
+// daemons delayed a few of its answers, and against one that stays slow unnoticed.
+func TestPaceIsLearnedSlowly(t *testing.T) {
+	bubble(t, 1, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		s := r.services["model"].order[0]
+		for i := range 1000 {
+			l := r.acquire(t, r.job("w", "s"))
+			time.Sleep(5 * l.Expected)
+			l.First()
+			l.End(Done)
+			if i == 20 {
+				is.True(s.pace < 1.6)
+			}
+		}
+		is.True(s.pace > 3)
+	})
+}
--- a/place/server.go
+++ b/place/server.go
@@ -38,8 +38,10 @@
 	// reached gets no requests.
 	blockMin = 150 * time.Millisecond
 	blockMax = 3 * time.Second
-	// paceStep is the weight of the newest observation of a server's pace.
-	paceStep = 0.1
+	// paceStep is the weight of the newest observation of a server's pace. A late
+	// first token mostly tells of calls of other daemons that were not known yet;
+	// with 0.1 such calls made servers look up to eight times as slow as they are.
+	paceStep = 0.005
 	// paceMin and paceMax bound the learned pace.
 	paceMin, paceMax = 0.5, 8.0
 )
