place: further homes of a subject count in proportion to what they lack

Each home counts 2.5 times the reading time of what it lacks more than the one before it, so that calls wait for the first home longer and engines read less.

Test: TestDaemonsAgreeOnFurtherHomes, unchanged.

--- a/place/home.go
+++ b/place/home.go
@@ -9,7 +9,7 @@
 	homeCount = 4
 	// homeStep is how much each home counts beyond the one before it, as a part of
 	// the time to read what it lacks.
-	homeStep = 0.4
+	homeStep = 2.5
 	// localTokens is the length up to which a subject has homes in every zone.
 	localTokens = 2000
 )
