--- a/place/choose.go
+++ b/place/choose.go
@@ -19,7 +19,7 @@
 	// beyond its reading: a second copy displaces other parts.
 	displaceWeight = 2.0
 	// zoneTime is the disadvantage of a server in another zone.
-	zoneTime = 30 * time.Millisecond
+	zoneTime = 60 * time.Millisecond
 	// spareCalls is how many calls more than it has slots a plain server gets.
 	spareCalls = 2
 	// silenceMin and silenceMax bound how much longer than expected the first
