--- a/exchange/mesh_test.go
+++ b/exchange/mesh_test.go
@@ -144,15 +144,21 @@
 	return n
 }
 
-// meshes runs a test with five daemons of which two are seeds.
-func meshes(t *testing.T, test func(*testing.T, context.Context, *network, []*node)) {
+// bubble runs a test with an empty network on virtual time, and ends its daemons.
+func bubble(t *testing.T, test func(t *testing.T, ctx context.Context, x *network)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer func() {
 			cancel()
 			time.Sleep(time.Minute)
 		}()
-		x := &network{nodes: map[string]*node{}, cut: map[string]bool{}}
+		test(t, ctx, &network{nodes: map[string]*node{}, cut: map[string]bool{}})
+	})
+}
+
+// meshes runs a test with five daemons of which two are seeds.
+func meshes(t *testing.T, test func(*testing.T, context.Context, *network, []*node)) {
+	bubble(t, func(t *testing.T, ctx context.Context, x *network) {
 		var nodes []*node
 		for i := range 5 {
 			nodes = append(nodes, x.add(ctx, fmt.Sprintf("n%d", i), "n0", "n1"))
@@ -204,13 +210,7 @@
 // zones runs a test with two daemons in each of two zones: a0 and b0, which relay, and
 // a1 and b1, which send a part with each report.
 func zones(t *testing.T, test func(*testing.T, *network, map[string]*node)) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer func() {
-			cancel()
-			time.Sleep(time.Minute)
-		}()
-		x := &network{nodes: map[string]*node{}, cut: map[string]bool{}}
+	bubble(t, func(t *testing.T, ctx context.Context, x *network) {
 		quiet := func(bool) Report { return Report{} }
 		for _, zone := range []string{"a", "b"} {
 			next := uint64(0)
