--- a/exchange/pack.go
+++ b/exchange/pack.go
@@ -9,18 +9,18 @@
 	"github.com/pkg/errors"
 )
 
-// maxUnpacked bounds unpacked reports in bytes. Those of 20 daemons before 6,200
-// backend servers have about half of it.
+// maxUnpacked bounds unpacked reports in bytes. A row of one backend server has
+// about 45 bytes, so that those of 20 daemons before 6,200 servers fit.
 const maxUnpacked = 8 << 20
 
 // packed are reports on their way: compressed JSON. Names of servers and workspaces
-// recur in all rows, so that reports shrink to a quarter.
+// recur in all rows, so that reports shrink to less than half.
 type packed struct {
 	Data []byte `json:"z"`
 }
 
-// packer packs reports, one at a time. It keeps the compressor, which takes half a
-// megabyte.
+// packer packs reports, one at a time. It keeps the compressor and
+// its buffers.
 type packer struct {
 	buffer     bytes.Buffer
 	compressor *flate.Writer
