backend: answers without end are cut off at a bound

A server in trouble may send bytes that are no answer until its caller closes. Informational responses were skipped without a bound, and so were empty lines between events; comments were passed on or skipped for as long as they came, and the framing of tiny chunks was not counted. Only the deadline of the call ended them, and meanwhile the daemon's processor time went into reading.

A connection now counts what is read: 64 KB for a head with all informational responses before it, and twice the size limit of the body, or of one event in a stream of package Client, whose budget begins anew with each event that has content.

--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -247,7 +247,9 @@
 // complete.
 func (r *attemptRun) relayStream(ctx context.Context, x *exchange) error {
 	check := newStreamCheck(r.attempt.ResumeFrom)
-	events := newEventReader(x.body, r.client.options.MaxEventBytes)
+	maxEventBytes := r.client.options.MaxEventBytes
+	events := newEventReader(x.body, maxEventBytes)
+	x.conn.allowRead(bodyBytes(maxEventBytes))
 	started := false
 	for {
 		event, err := events.next()
@@ -278,6 +280,7 @@
 		if err := r.sink.Write(event, tokens); err != nil {
 			return r.sinkError(ctx, err)
 		}
+		x.conn.allowRead(bodyBytes(maxEventBytes))
 		if err := x.conn.SetReadDeadline(time.Now().Add(r.client.options.EventTimeout)); err != nil {
 			return r.mayHaveRunError(ctx, err)
 		}
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -20,6 +20,15 @@
 // arrived completely. Only the reuse of the connection depends on it.
 const bodyEndTimeout = 20 * time.Millisecond
 
+// maxHeadBytes bounds what is read until the header of a response ends,
+// including informational responses before it.
+const maxHeadBytes = 64 << 10
+
+// bodyBytes returns the number of bytes that may be read for a body with the
+// given size limit. It leaves room for the framing of the body in chunks and
+// for what the reader has read ahead.
+func bodyBytes(maxBytes int) int64 { return 2*int64(maxBytes) + readBufferBytes }
+
 // errNoLength is the error of a body that ends with the connection, so that its
 // end cannot be told from a broken connection.
 var errNoLength = errors.New("the answer has no length")
@@ -87,6 +96,7 @@
 // readHeader reads the response header, skips informational responses (1xx),
 // and sets the reader of the body.
 func (x *exchange) readHeader() error {
+	x.conn.allowRead(maxHeadBytes)
 	for {
 		x.header.Reset()
 		x.header.SetNoDefaultContentType(true)
@@ -128,10 +138,17 @@
 		return nil, errTooLong
 	}
 	if length >= 0 {
+		x.conn.allowRead(bodyBytes(maxBytes))
 		b := make([]byte, length)
 		_, err := io.ReadFull(x.body, b)
 		return b, err
 	}
+	return x.readToEnd(maxBytes)
+}
+
+// readToEnd reads a body until it ends, which may be with the connection.
+func (x *exchange) readToEnd(maxBytes int) ([]byte, error) {
+	x.conn.allowRead(bodyBytes(maxBytes))
 	b, err := io.ReadAll(io.LimitReader(x.body, int64(maxBytes)+1))
 	if err == nil && len(b) > maxBytes {
 		return nil, errTooLong
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -28,6 +28,26 @@
 	// keepAliveTimeout is how long the server says that it keeps an idle
 	// connection; 0 if unknown.
 	keepAliveTimeout time.Duration
+	// readable is the number of bytes that may still be read.
+	readable int64
+}
+
+// allowRead sets the number of bytes that may be read from the connection from
+// now on.
+func (c *serverConn) allowRead(n int64) { c.readable = n }
+
+// Read implements io.Reader. It returns errTooLong once the bytes that
+// allowRead allows have been read.
+func (c *serverConn) Read(b []byte) (int, error) {
+	if c.readable <= 0 {
+		return 0, errTooLong
+	}
+	if int64(len(b)) > c.readable {
+		b = b[:c.readable]
+	}
+	n, err := c.Conn.Read(b)
+	c.readable -= int64(n)
+	return n, err
 }
 
 // pool keeps idle connections for reuse, by server address.
@@ -69,7 +89,9 @@
 
 // newServerConn returns a connection that has not been used yet.
 func newServerConn(c net.Conn, address string) *serverConn {
-	return &serverConn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), address: address}
+	conn := &serverConn{Conn: c, address: address}
+	conn.reader = bufio.NewReaderSize(conn, readBufferBytes)
+	return conn
 }
 
 // popIdle removes and returns the connection that has been idle for the
--- a/backend/relay.go
+++ b/backend/relay.go
@@ -37,8 +37,8 @@
 	// written in the background while the answer is awaited, since a server may
 	// answer a long request before it has read all of it.
 	backgroundWriteMinBytes = 4 << 10
-	// maxRelayAnswerBytes bounds a whole answer, maxRelayEventBytes one event
-	// of a stream.
+	// maxRelayAnswerBytes bounds a whole answer or all events of a stream,
+	// maxRelayEventBytes one event.
 	maxRelayAnswerBytes = 16 << 20
 	maxRelayEventBytes  = 1 << 20
 )
@@ -243,10 +243,7 @@
 	var b []byte
 	var err error
 	if p.exchange.header.ContentLength() < -1 && !p.exchange.noBody {
-		b, err = io.ReadAll(io.LimitReader(p.exchange.body, maxRelayAnswerBytes+1))
-		if err == nil && len(b) > maxRelayAnswerBytes {
-			err = errTooLong
-		}
+		b, err = p.exchange.readToEnd(maxRelayAnswerBytes)
 	} else {
 		b, err = p.exchange.readBody(maxRelayAnswerBytes)
 	}
@@ -262,6 +259,7 @@
 // inside an event is an error.
 func (p *Response) NextEvent() ([]byte, *wigeonladder.Error) {
 	if p.events == nil {
+		p.exchange.conn.allowRead(bodyBytes(maxRelayAnswerBytes))
 		p.events = newEventReader(p.exchange.body, maxRelayEventBytes)
 	}
 	e, err := p.events.next()
