edge, fair, place: load and shares are logged each second

New are the lines load and share, once a second, share only for workspaces that this daemon holds back, and the shares in the state dump. No decision changes.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -175,6 +175,7 @@
 	if err := d.serveCallers(ctx); err != nil {
 		return err
 	}
+	go d.observe(ctx)
 	return d.serveOperators(ctx)
 }
 
--- a/edge/operator.go
+++ b/edge/operator.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/wigeonladder/wigeonladder/conn"
+	"github.com/wigeonladder/wigeonladder/fair"
 	"github.com/wigeonladder/wigeonladder/place"
 )
 
@@ -35,6 +36,7 @@
 	LiveDaemons   int                `json:"daemons"`
 	Peers         []string           `json:"peers"`
 	Servers       []place.ServerDump `json:"servers"`
+	Shares        fair.WindowDump    `json:"shares"`
 }
 
 // Dump returns the state of the daemon.
@@ -43,6 +45,7 @@
 	s := Dump{
 		Name: d.settings.Name, Zone: d.settings.Zone, Ready: d.Ready(), Leaving: d.leaving.Load(),
 		OpenCalls: d.front.OpenCalls(), ConfigAge: age.String(), LiveDaemons: d.liveDaemons(), Peers: d.mesh.Load().PeerAddresses(), Servers: d.pool.Dump(),
+		Shares: d.window.Dump(),
 	}
 	if t := d.tableStore.Table(); t != nil {
 		s.ConfigVersion = t.Version()
--- a/fair/dump.go
+++ b/fair/dump.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/wigeonladder/wigeonladder"
 )
@@ -82,3 +83,57 @@
 		return strings.Compare(a.Workspace, b.Workspace)
 	})
 }
+
+// WindowDump is the state of a Window, shown to operators. Amounts are cost
+// units within the window.
+type WindowDump struct {
+	// Level is the fair share; 0 if the capacity is unknown.
+	Level int64 `json:"level"`
+	// LeastStarved is the lowest service of a starved workspace; nil if no
+	// workspace is starved.
+	LeastStarved *int64          `json:"least,omitempty"`
+	Workspaces   []WindowRowDump `json:"workspaces"`
+}
+
+// WindowRowDump is the state of one workspace in a Window.
+type WindowRowDump struct {
+	Workspace string `json:"workspace"`
+	Standing  string `json:"standing"`
+	Demand    int64  `json:"demand"`
+	Service   int64  `json:"service"`
+	// OwnDemand and OwnService are the parts that this daemon has counted.
+	OwnDemand  int64 `json:"ownDemand"`
+	OwnService int64 `json:"ownService"`
+	// Throttled is true if a call at any daemon was refused or placed late
+	// recently, OwnThrottled if one at this daemon was.
+	Throttled    bool `json:"throttled,omitempty"`
+	OwnThrottled bool `json:"ownThrottled,omitempty"`
+}
+
+// Dump returns the state of the window, sorted by workspace. It omits
+// workspaces without demand.
+func (w *Window) Dump() WindowDump {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.refresh(now)
+	d := WindowDump{Level: int64(w.level)}
+	if w.hasStarved {
+		least := int64(w.leastStarved)
+		d.LeastStarved = &least
+	}
+	step := w.step(now)
+	for name, r := range w.rows {
+		if r.demand.sum(step) == 0 {
+			continue
+		}
+		d.Workspaces = append(d.Workspaces, WindowRowDump{
+			Workspace: name, Standing: w.standing(r, now).String(),
+			Demand: int64(r.demand.sum(step)), Service: int64(r.service.sum(step)),
+			OwnDemand: int64(r.ownDemand.sum(step)), OwnService: int64(r.ownService.sum(step)),
+			Throttled: now.Sub(r.throttledAt) < throttledFor, OwnThrottled: now.Sub(r.ownThrottledAt) < throttledFor,
+		})
+	}
+	slices.SortFunc(d.Workspaces, func(a, b WindowRowDump) int { return strings.Compare(a.Workspace, b.Workspace) })
+	return d
+}
--- a/fair/window.go
+++ b/fair/window.go
@@ -198,7 +198,15 @@
 	now := time.Now()
 	w.refresh(now)
 	r := w.rows[workspace]
-	if r == nil || w.level <= 0 {
+	if r == nil {
+		return BelowShare
+	}
+	return w.standing(r, now)
+}
+
+// standing implements Standing for one row, after a refresh.
+func (w *Window) standing(r *windowRow, now time.Time) Standing {
+	if w.level <= 0 {
 		return BelowShare
 	}
 	service := r.service.sum(w.step(now))
--- a/fair/window_test.go
+++ b/fair/window_test.go
@@ -145,3 +145,23 @@
 		is.Equal(standing(20000), Denied)
 	})
 }
+
+// Guards against a dump that does not show why a workspace is refused.
+func TestWindowDump(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := NewWindow(nil)
+		w.SetCapacity(1000)
+		w.RecordDemand("starved", 10000)
+		w.RecordService("starved", 400)
+		w.RecordThrottled("starved")
+		w.Import("other", []WorkspaceTotals{{Workspace: "large", RecentDemand: 9600, RecentService: 3200}})
+		d := w.Dump()
+		is.Equal(d.Level, int64(2000))
+		is.Equal(*d.LeastStarved, int64(400))
+		is.Equal(d.Workspaces, []WindowRowDump{
+			{Workspace: "large", Standing: "far ahead of", Demand: 9600, Service: 3200},
+			{Workspace: "starved", Standing: "within", Demand: 10000, Service: 400, OwnDemand: 10000, OwnService: 400, Throttled: true, OwnThrottled: true},
+		})
+	})
+}
--- a/front/server.go
+++ b/front/server.go
@@ -125,6 +125,9 @@
 // OpenCalls returns the number of calls that have not ended.
 func (s *Server) OpenCalls() int { return int(s.openCalls.Load()) }
 
+// OpenConns returns the number of open connections of callers.
+func (s *Server) OpenConns() int { return s.listener.OpenConns() }
+
 // handle answers one request. Once a shutdown has begun, every answer whose
 // header is not yet sent closes its connection, so that no caller keeps it.
 func (s *Server) handle(c *fasthttp.RequestCtx) {
--- a/place/pool.go
+++ b/place/pool.go
@@ -36,6 +36,10 @@
 	services map[string]*serviceState
 	// sentParts contains the prompt parts that were sent since the last report.
 	sentParts []SentPart
+	// sweptAt is when sweep last ran, maxSweepDelay by how much one of its runs
+	// was late at most since the last call of Stats.
+	sweptAt       time.Time
+	maxSweepDelay time.Duration
 }
 
 // serviceState is the state of one service.
@@ -52,6 +56,9 @@
 	lastDrain time.Time
 	// waitingTokens is the number of prompt tokens of the waiting jobs.
 	waitingTokens int
+	// wastedCost is the cost of the leases that ended before the server had read
+	// the prompt.
+	wastedCost int64
 }
 
 // NewPool returns a pool without servers. It places waiting jobs until the
@@ -279,6 +286,9 @@
 	}
 	l.ended = true
 	s := l.server
+	if !l.gotFirstToken {
+		p.serviceState(l.job.Service).wastedCost += l.job.Prompt.Cost()
+	}
 	delete(s.leases, l)
 	s.own = load{s.own.running - 1, s.own.unreadTokens - l.load.unreadTokens, s.own.memoryTokens - l.load.memoryTokens}
 	now := time.Now()
--- a/place/queue.go
+++ b/place/queue.go
@@ -225,6 +225,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
+	if !p.sweptAt.IsZero() {
+		p.maxSweepDelay = max(p.maxSweepDelay, now.Sub(p.sweptAt)-sweepPeriod)
+	}
+	p.sweptAt = now
 	for _, g := range p.services {
 		for _, s := range g.order {
 			s.expire(now)
--- /dev/null
+++ b/place/stats.go
@@ -0,0 +1,65 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Stats is the state of a Pool in a few numbers.
+type Stats struct {
+	// SweepDelay is by how much a check of the waiting jobs was late at most
+	// since the last Stats. It grows when the daemon lacks processor time.
+	SweepDelay time.Duration
+	Services   []ServiceStats
+}
+
+// ServiceStats is the state of one service.
+type ServiceStats struct {
+	Service string
+	// Servers is the number of backend servers, Available the number of those
+	// that take calls.
+	Servers, Available int
+	// Waiting is the number of jobs that wait, WaitingTokens the number of their
+	// prompt tokens.
+	Waiting, WaitingTokens int
+	// Running is the number of this daemon's calls that run.
+	Running int
+	// MeanWait is the mean expected wait at the available servers.
+	MeanWait time.Duration
+	// WastedCost is the cost of the leases of this daemon that ended before the
+	// server had read the prompt, since the start.
+	WastedCost int64
+}
+
+// Stats returns the state of the pool, with services sorted by name. It resets
+// SweepDelay.
+func (p *Pool) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	st := Stats{SweepDelay: max(p.maxSweepDelay, now.Sub(p.sweptAt)-sweepPeriod)}
+	p.maxSweepDelay = 0
+	for _, g := range p.services {
+		st.Services = append(st.Services, g.stats(now))
+	}
+	slices.SortFunc(st.Services, func(a, b ServiceStats) int { return cmp.Compare(a.Service, b.Service) })
+	return st
+}
+
+// stats returns the state of the service.
+func (g *serviceState) stats(now time.Time) ServiceStats {
+	t := ServiceStats{Service: g.name, Servers: len(g.servers), Waiting: g.waiting, WaitingTokens: g.waitingTokens, WastedCost: g.wastedCost}
+	wait := time.Duration(0)
+	for _, s := range g.order {
+		t.Running += s.own.running
+		if s.available(now) {
+			t.Available++
+			wait += s.expectedWait()
+		}
+	}
+	if t.Available > 0 {
+		t.MeanWait = wait / time.Duration(t.Available)
+	}
+	return t
+}
