--- a/fair/window_test.go
+++ b/fair/window_test.go
@@ -1,6 +1,8 @@
 package fair
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -155,13 +157,89 @@
 		w.RecordDemand("starved", 10000)
 		w.RecordService("starved", 400)
 		w.RecordThrottled("starved")
-		w.Import("other", []WorkspaceTotals{{Workspace: "large", RecentDemand: 9600, RecentService: 3200}})
+		w.Import("other", []WorkspaceTotals{{Workspace: "large", RecentDemand: 9600, RecentService: 2912}})
 		d := w.Dump()
 		is.Equal(d.Level, int64(2000))
 		is.Equal(*d.LeastStarved, int64(400))
 		is.Equal(d.Workspaces, []WindowRowDump{
-			{Workspace: "large", Standing: "far ahead of", Demand: 9600, Service: 3200},
+			{Workspace: "large", Standing: "far ahead of", Demand: 9600, Service: 2912},
 			{Workspace: "starved", Standing: "within", Demand: 10000, Service: 400, OwnDemand: 10000, OwnService: 400, Throttled: true, OwnThrottled: true},
 		})
 	})
 }
+
+// fleet gives out capacity by the standings of a window.
+type fleet struct {
+	window *Window
+	// capacity is what the servers give in a step, in cost units.
+	capacity int64
+	// demands contains what each workspace asks for in a step.
+	demands map[string]int64
+}
+
+// run gives out capacity for some time and returns what each workspace got.
+// Workspaces that ask for more than they get are throttled.
+func (f *fleet) run(d time.Duration) map[string]int64 {
+	total := map[string]int64{}
+	for range int(d / windowStep) {
+		got, left := map[string]int64{}, f.capacity
+		for name, demand := range f.demands {
+			f.window.RecordDemand(name, demand)
+		}
+		for left > 0 {
+			name, ok := f.next(got)
+			if !ok {
+				break
+			}
+			f.window.RecordService(name, callCost)
+			got[name] += callCost
+			left -= callCost
+		}
+		for name, demand := range f.demands {
+			total[name] += got[name]
+			if got[name] < demand {
+				f.window.RecordThrottled(name)
+			}
+		}
+		time.Sleep(windowStep)
+	}
+	return total
+}
+
+// callCost is the cost of one call of a fleet.
+const callCost = 10
+
+// next returns the workspace that gets the next call: among those with the best
+// standing the one that got least in this step.
+func (f *fleet) next(got map[string]int64) (string, bool) {
+	best, bestStanding := "", Denied
+	for _, name := range slices.Sorted(maps.Keys(f.demands)) {
+		s := f.window.Standing(name)
+		if s == Denied || got[name] >= f.demands[name] {
+			continue
+		}
+		if s < bestStanding || s == bestStanding && got[name] < got[best] {
+			best, bestStanding = name, s
+		}
+	}
+	return best, best != ""
+}
+
+// Guards against a workspace that gets less than half of what others get for
+// seconds, because it used capacity that nobody else asked for before some of
+// the servers were lost.
+func TestUseOfSpareCapacityIsNotRepaid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWindow(func() int { return 25 })
+		w.SetCapacity(4000)
+		f := &fleet{window: w, capacity: 1000, demands: map[string]int64{"early": 4000}}
+		f.run(6 * time.Second)
+		for _, name := range []string{"late-1", "late-2", "late-3"} {
+			f.demands[name] = 1000
+		}
+		f.capacity = 600
+		got := f.run(6 * time.Second)
+		t.Log(got)
+		is.New(t).True(2*got["early"] >= got["late-1"])
+	})
+}
