--- a/place/stats_test.go
+++ b/place/stats_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -29,11 +30,13 @@
 	bubble(t, 1, func(t *testing.T, r *rig) {
 		is := is.New(t)
 		time.Sleep(10 * sweepPeriod)
+		synctest.Wait()
 		is.Equal(r.Stats().SweepDelay, time.Duration(0))
 		r.mu.Lock()
 		r.sweptAt = r.sweptAt.Add(-time.Second)
 		r.mu.Unlock()
 		time.Sleep(sweepPeriod)
+		synctest.Wait()
 		is.True(r.Stats().SweepDelay >= time.Second)
 		is.Equal(r.Stats().SweepDelay, time.Duration(0))
 	})
