fair: debt of a workspace is bounded

Cause: the window compares what workspaces received in the last four seconds, and all of it counts, also what was spare when it was given. secu970 had 9.3 million tokens of the window when nine others became hot and two fifths of the servers were lost; at a common level of some 2 million it stood far ahead of its share for two seconds and got nothing, while the others were served at more than the new rate. Memory of spare capacity became a debt without a bound.

What counts is now at most half more than the least served starved workspace has, or the level if that is more.

--- a/fair/window.go
+++ b/fair/window.go
@@ -38,6 +38,12 @@
 	// which is served first anyway, hold back all others while servers are
 	// idle.
 	starvedLevelMargin = 1.0 / 16
+	// maxDebt is the fraction by which the service of a workspace may count as
+	// more than that of the least served starved workspace. What it received
+	// beyond that was spare when it was given, or could not be prevented in time.
+	// If all of it counted, the workspace would get nothing until the others had
+	// caught up.
+	maxDebt = 0.5
 	// maxWindowRows bounds the number of workspaces in a window.
 	maxWindowRows = 4096
 )
@@ -275,6 +281,21 @@
 			w.leastStarved, w.hasStarved = service, true
 		}
 	}
+	if w.hasStarved {
+		w.forgiveDebt(now)
+	}
+}
+
+// forgiveDebt reduces the service that counts for each workspace to at most
+// maxDebt more than the least served starved workspace has, or the level if
+// that is more.
+func (w *Window) forgiveDebt(now time.Time) {
+	limit := (1 + maxDebt) * max(w.leastStarved, w.level)
+	for _, r := range w.rows {
+		if service := r.service.sum(w.step(now)); service > limit {
+			r.service.scale(limit / service)
+		}
+	}
 }
 
 // isStarved reports whether a throttled workspace receives so much less than
@@ -368,6 +389,13 @@
 	}
 }
 
+// scale multiplies all steps by f.
+func (g *ring) scale(f float64) {
+	for i := range g.parts {
+		g.parts[i] *= f
+	}
+}
+
 // sum returns the sum over the window.
 func (g *ring) sum(step int64) float64 {
 	g.advance(step)
