place: calls that cannot be placed in time are refused before a server is searched

A search among 90 servers takes some 55 µs, and it was made for each call that arrived and, ten times a second, for each of the 100 to 300 that waited. Most of these waited in vain: the logs have "no room after 301ms, 125 calls wait".

Calls of a workspace that is far ahead of its share, and calls that come when more of their workspace wait than this daemon has placed recently in the time that they may wait, are now refused without a search. The first were never placed: what makes a workspace stand there takes longer than such a call may wait.

--- a/fair/window.go
+++ b/fair/window.go
@@ -228,6 +228,18 @@
 	return AboveShare
 }
 
+// OwnRate returns the service per second that a workspace has received from this
+// daemon within the window.
+func (w *Window) OwnRate(workspace string) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := w.rows[workspace]
+	if r == nil {
+		return 0
+	}
+	return r.ownService.sum(w.step(time.Now())) / (windowSteps * windowStep).Seconds()
+}
+
 // RetryDelay returns the time until a workspace that is refused now is expected
 // to be allowed more service.
 func (w *Window) RetryDelay(workspace string) time.Duration {
--- a/place/pool.go
+++ b/place/pool.go
@@ -173,6 +173,11 @@
 	if p.countsTowardShare(g, j) {
 		p.options.Window.RecordDemand(j.Workspace, j.Prompt.Cost())
 	}
+	if err := p.earlyRefusal(g, j, now); err != nil {
+		p.recordThrottled(g, j)
+		p.mu.Unlock()
+		return nil, err
+	}
 	best := p.bestServer(g, j, now)
 	if best != nil && best.server.queuedTokens == 0 && p.hasRoom(g, best.server, best.wait, j, p.standing(g, j)) {
 		l := p.grantLease(g, j, best, now)
--- a/place/queue.go
+++ b/place/queue.go
@@ -23,6 +23,9 @@
 	// came to one daemon got a third of its share, because the first 8 waited
 	// for busy servers.
 	maxScannedJobs = 256
+	// minQueueJobs is the number of calls of one workspace that may wait however
+	// few of its calls are placed, so that there are calls for most servers.
+	minQueueJobs = 64
 	// waitFraction is the fraction of the time between arrival and deadline for
 	// which a call waits for room. waitTargets is the number of target
 	// latencies for which it waits at most, because callers abandon a stream
@@ -166,6 +169,35 @@
 	j.assigned.queuedTokens += j.queuedTokens
 }
 
+// earlyRefusal returns the error for a job that cannot be placed in time
+// whichever server is best, or nil. It does not look for a server, so that a
+// flood of calls does not take the processor time that placing others needs.
+func (p *Pool) earlyRefusal(g *serviceState, j *Job, now time.Time) *wigeonladder.Error {
+	if !p.countsTowardShare(g, j) {
+		return nil
+	}
+	standing := p.standing(g, j)
+	if standing != fair.Denied && !p.queueIsFull(g, j, now) {
+		return nil
+	}
+	return wigeonladder.Errorf(wigeonladder.CodeOverload, g.name, "%d calls of the workspace wait; it is %v its share", len(g.queues[j.Workspace]), standing).
+		WithRetryDelay(p.retryDelay(g, j))
+}
+
+// queueIsFull reports whether more calls of the workspace wait than this daemon
+// places in the time for which the job would wait.
+func (p *Pool) queueIsFull(g *serviceState, j *Job, now time.Time) bool {
+	q := g.queues[j.Workspace]
+	if len(q) < minQueueJobs {
+		return false
+	}
+	waiting := 0.0
+	for _, x := range q {
+		waiting += float64(x.Prompt.Cost())
+	}
+	return waiting > p.options.Window.OwnRate(j.Workspace)*p.waitUntil(g, j).Sub(now).Seconds()
+}
+
 // refusal returns the error for a job that cannot expect to be placed in time,
 // or nil if it may wait.
 func (p *Pool) refusal(g *serviceState, j *Job, best *candidate, now time.Time) *wigeonladder.Error {
