--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -68,8 +68,9 @@
 }
 
 // Guards against daemons that stay separated after the end of a partition, and
-// against homes that move at once when daemons rejoin: within 1.5 s of the
-// rejoin no home may move, 2 s later all daemons must agree on the homes.
+// against homes that move at once when daemons rejoin: no home of a daemon may
+// move within 1.5 s after it has seen the first daemon of the other side, and
+// 3.5 s after all have seen each other they must agree on the homes.
 func TestHomesAfterPartition(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -84,11 +85,11 @@
 		t.Log("partition known after", f.waitWithin(10*time.Second, "partition known", separated))
 		time.Sleep(time.Minute)
 		f.partition(false)
-		before := f.nodes["vm-000"].homes()
-		t.Log("rejoin known after", f.waitWithin(8*time.Second, "rejoin known", f.converged))
-		time.Sleep(1500 * time.Millisecond)
-		is.Equal(f.nodes["vm-000"].homes(), before)
-		time.Sleep(2 * time.Second)
+		homesStay := f.watchHomes()
+		t.Log("rejoin known after", f.waitWithin(8*time.Second, "rejoin known", func() bool { return homesStay() && f.converged() }))
+		for end := time.Now().Add(3500 * time.Millisecond); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			is.True(homesStay())
+		}
 		for _, n := range f.nodes {
 			is.Equal(n.homes(), f.nodes["vm-000"].homes())
 		}
@@ -107,6 +108,33 @@
 	}
 }
 
+// watchHomes returns a function that fails the test, and returns false, if the
+// homes of a daemon have moved too soon after its number of members grew.
+func (f *testFleet) watchHomes() func() bool {
+	type state struct {
+		members int
+		homes   string
+		seenAt  time.Time
+	}
+	states := map[string]*state{}
+	for name, n := range f.nodes {
+		states[name] = &state{members: len(n.Members()), homes: n.homes()}
+	}
+	return func() bool {
+		for name, n := range f.nodes {
+			s := states[name]
+			if s.seenAt.IsZero() && len(n.Members()) > s.members {
+				s.seenAt = time.Now()
+			}
+			if n.homes() != s.homes && (s.seenAt.IsZero() || time.Since(s.seenAt) < 1500*time.Millisecond) {
+				f.t.Errorf("the homes of %s moved %v after it saw a daemon of the other side", name, time.Since(s.seenAt))
+				return false
+			}
+		}
+		return true
+	}
+}
+
 // homes returns the homes of 30 servers as this daemon knows them.
 func (n *node) homes() string {
 	l := ""
