conn, front: connections beyond what a daemon can read are refused unparsed

Cause: the daemon accepted every connection, while it can read some 2,000 requests a second. Up to 9,500 connections were open at it, most unread or lingering; its timers were up to 2.8 s late; it read requests that their callers had left after a second, and its own calls of the store and dials failed for lack of processor time or descriptors ("too many open files", 1,360 calls refused because the configuration could not be confirmed). Other daemons were idle meanwhile.

A listener now has limits. Above 128 new connections from which nothing was read, the request on a further one is answered with a prepared refusal with Retry-After, without being parsed, at most 256 at a time; above two thirds of the descriptors connections are closed at once. Connections that stay silent for a second do not count as unread. What is refused gets no keep-alive probes.

TestUnreadConnectionsAreLimited, TestSilentConnectionsDoNotCountAsUnread and TestOpenConnectionsAreLimited have no counterpart before: nothing limited them.

--- a/caller/server.go
+++ b/caller/server.go
@@ -113,7 +113,7 @@
 // requests and closes the connections.
 func NewServer(ctx context.Context, o Options) *Server {
 	o = o.withDefaults()
-	s := &Server{options: o, listener: conn.NewListener(o.Listener, writeTimeout)}
+	s := &Server{options: o, listener: conn.NewListener(o.Listener, conn.Limits{WriteTimeout: writeTimeout})}
 	s.ctx, s.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
--- a/conn/conn.go
+++ b/conn/conn.go
@@ -23,40 +23,131 @@
 // while a resource, such as file descriptors, is exhausted.
 const acceptRetryDelay = 10 * time.Millisecond
 
+// unreadTime is how long a new connection counts as unread. A caller that sends
+// nothing for longer has opened it in advance.
+const unreadTime = time.Second
+
+// Limits are the limits of a Listener. A value of zero sets no limit.
+type Limits struct {
+	// WriteTimeout bounds a single write to a connection.
+	WriteTimeout time.Duration
+	// MaxOpen is the number of open connections up to which further connections
+	// are accepted. Others are closed at once.
+	MaxOpen int
+	// MaxUnread is the number of new connections from which nothing has been
+	// read yet up to which further connections are accepted. On others the first
+	// request is answered with RefusalResponse, without being parsed.
+	MaxUnread       int
+	RefusalResponse []byte
+}
+
+// maxShedding is the number of connections that may be refused at the same
+// time; further ones are closed at once.
+const maxShedding = 256
+
 // Listener accepts connections as *Conn and keeps track of those that are open.
 type Listener struct {
 	net.Listener
-	writeTimeout time.Duration
+	limits Limits
+	// unread is the number of new connections from which nothing has been read,
+	// shed the number of connections that were not accepted because of a limit,
+	// shedding the number of those that are being refused.
+	unread, shed, shedding atomic.Int64
 
 	mu   sync.Mutex
 	open map[*Conn]struct{}
+	// newest contains the connections of the last unreadTime in the order in
+	// which they were accepted.
+	newest []*Conn
 }
 
-// NewListener returns a Listener that accepts from l. A single write to one of
-// its connections fails after writeTimeout; zero sets no limit.
-func NewListener(l net.Listener, writeTimeout time.Duration) *Listener {
-	return &Listener{Listener: l, writeTimeout: writeTimeout, open: map[*Conn]struct{}{}}
+// NewListener returns a Listener that accepts from l.
+func NewListener(l net.Listener, limits Limits) *Listener {
+	return &Listener{Listener: l, limits: limits, open: map[*Conn]struct{}{}}
 }
 
 // Accept returns the next connection as a *Conn. It retries after temporary
 // errors, such as a lack of file descriptors, because fasthttp stops accepting
 // for good when Accept fails.
 func (l *Listener) Accept() (net.Conn, error) {
-	n, err := l.Listener.Accept()
-	for err != nil && isTemporaryAcceptError(err) {
-		time.Sleep(acceptRetryDelay)
-		n, err = l.Listener.Accept()
+	for {
+		n, err := l.Listener.Accept()
+		if err != nil && isTemporaryAcceptError(err) {
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		c, refuse := l.admit(n)
+		if c != nil {
+			if t, ok := n.(*net.TCPConn); ok {
+				_ = t.SetKeepAliveConfig(keepAlive)
+			}
+			return c, nil
+		}
+		l.shed.Add(1)
+		if !refuse || l.shedding.Load() >= maxShedding {
+			_ = n.Close()
+			continue
+		}
+		l.shedding.Add(1)
+		go func() {
+			defer l.shedding.Add(-1)
+			refuseRequest(n, l.limits.RefusalResponse)
+		}()
 	}
-	if err != nil {
-		return nil, err
+}
+
+// refuseRequest answers the request on a connection without parsing it, and
+// closes the connection. It reads what the peer still sends, as Close does after
+// Linger.
+func refuseRequest(n net.Conn, response []byte) {
+	defer n.Close()
+	if n.SetDeadline(time.Now().Add(lingerTimeout)) != nil {
+		return
 	}
-	c := &Conn{Conn: n, listener: l, idleSince: time.Now()}
+	var b [1]byte
+	if _, err := n.Read(b[:]); err != nil {
+		return
+	}
+	if _, err := n.Write(response); err != nil {
+		return
+	}
+	if w, ok := n.(interface{ CloseWrite() error }); ok && w.CloseWrite() == nil {
+		_, _ = io.Copy(io.Discard, n)
+	}
+}
+
+// admit returns an accepted connection as a *Conn, or nil if a limit is reached,
+// and then whether its request is to be refused.
+func (l *Listener) admit(n net.Conn) (c *Conn, refuse bool) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for len(l.newest) > 0 && (!l.newest[0].unread.Load() || now.Sub(l.newest[0].acceptedAt) > unreadTime) {
+		l.newest[0].markRead()
+		l.newest[0] = nil
+		l.newest = l.newest[1:]
+	}
+	if m := l.limits.MaxOpen; m > 0 && len(l.open) >= m {
+		return nil, false
+	}
+	if m := l.limits.MaxUnread; m > 0 && l.unread.Load() >= int64(m) {
+		return nil, true
+	}
+	c = &Conn{Conn: n, listener: l, idleSince: now, acceptedAt: now}
+	c.unread.Store(true)
+	l.unread.Add(1)
+	l.newest = append(l.newest, c)
 	l.open[c] = struct{}{}
-	l.mu.Unlock()
-	return c, nil
+	return c, false
 }
 
+// ShedConns returns the number of connections that were not accepted because a
+// limit was reached.
+func (l *Listener) ShedConns() int { return int(l.shed.Load()) }
+
 // isTemporaryAcceptError reports whether a later Accept can succeed.
 func isTemporaryAcceptError(err error) bool {
 	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
@@ -118,6 +209,10 @@
 	watchErr     error
 	linger       bool
 	skipResponse atomic.Bool
+	// unread is true for a new connection until it is read or unreadTime has
+	// passed.
+	unread     atomic.Bool
+	acceptedAt time.Time
 	// idleSince is when the connection began to wait for a request; zero while a
 	// request is read or handled.
 	idleSince  time.Time
@@ -195,6 +290,7 @@
 		return n, err
 	}
 	n, err := c.Conn.Read(b)
+	c.markRead()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closedIdle {
@@ -206,6 +302,13 @@
 	return n, err
 }
 
+// markRead records that the connection no longer counts as unread.
+func (c *Conn) markRead() {
+	if c.unread.CompareAndSwap(true, false) {
+		c.listener.unread.Add(-1)
+	}
+}
+
 // readWatched returns the byte or the error that a watch has read, if any.
 func (c *Conn) readWatched(b []byte) (int, error) {
 	c.mu.Lock()
@@ -294,7 +397,7 @@
 
 // write writes within the listener's write timeout, also after SkipResponse.
 func (c *Conn) write(b []byte) (int, error) {
-	if limit := c.listener.writeTimeout; limit > 0 {
+	if limit := c.listener.limits.WriteTimeout; limit > 0 {
 		if err := c.Conn.SetWriteDeadline(time.Now().Add(limit)); err != nil {
 			return 0, err
 		}
@@ -336,6 +439,7 @@
 
 // close closes the connection at once, without lingering.
 func (c *Conn) close() error {
+	c.markRead()
 	c.listener.mu.Lock()
 	delete(c.listener.open, c)
 	c.listener.mu.Unlock()
--- a/conn/conn_test.go
+++ b/conn/conn_test.go
@@ -23,7 +23,7 @@
 	is := is.New(t)
 	n, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	l := NewListener(n, writeTimeout)
+	l := NewListener(n, Limits{WriteTimeout: writeTimeout})
 	peer, err := net.Dial("tcp", n.Addr().String())
 	is.NoErr(err)
 	c, err := l.Accept()
@@ -134,7 +134,121 @@
 // file descriptors.
 func TestAcceptRetriesAfterShortage(t *testing.T) {
 	s := &exhaustedListener{failures: 3}
-	_, err := NewListener(s, 0).Accept()
+	_, err := NewListener(s, Limits{}).Accept()
 	is.New(t).Equal(err, net.ErrClosed)
 	is.New(t).Equal(s.failures, 0)
 }
+
+// limitedListener returns a listener with limits and a function that opens n
+// connections to it.
+func limitedListener(t *testing.T, limits Limits) (l *Listener, open func(n int) []net.Conn) {
+	t.Helper()
+	n, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	l = NewListener(n, limits)
+	t.Cleanup(func() {
+		l.CloseConns()
+		l.Close()
+	})
+	return l, func(n int) []net.Conn {
+		var conns []net.Conn
+		for range n {
+			c, err := net.Dial("tcp", l.Addr().String())
+			is.New(t).NoErr(err)
+			t.Cleanup(func() { c.Close() })
+			conns = append(conns, c)
+		}
+		return conns
+	}
+}
+
+// acceptAll accepts connections in the background and returns them.
+func acceptAll(l *Listener) <-chan *Conn {
+	accepted := make(chan *Conn, 100)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c.(*Conn)
+		}
+	}()
+	return accepted
+}
+
+// wantClosed asserts that the other end has closed a connection.
+func wantClosed(t *testing.T, c net.Conn) {
+	t.Helper()
+	is := is.New(t)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(deadline)))
+	_, err := c.Read(make([]byte, 1))
+	is.True(err != nil)
+	is.True(!errors.Is(err, os.ErrDeadlineExceeded))
+}
+
+// Guards against a flooded daemon that reads requests only after their callers
+// have left, because it accepts more connections than it can read.
+func TestUnreadConnectionsAreLimited(t *testing.T) {
+	is := is.New(t)
+	l, open := limitedListener(t, Limits{MaxUnread: 3, RefusalResponse: []byte("no")})
+	accepted := acceptAll(l)
+	peers := open(5)
+	first := <-accepted
+	<-accepted
+	<-accepted
+	for _, c := range peers[3:] {
+		_, err := io.WriteString(c, strings.Repeat("request", 10_000))
+		is.NoErr(err)
+		is.NoErr(c.SetReadDeadline(time.Now().Add(deadline)))
+		b, err := io.ReadAll(c)
+		is.NoErr(err)
+		is.Equal(string(b), "no")
+		is.NoErr(c.Close())
+	}
+	is.Equal(l.ShedConns(), 2)
+
+	_, err := io.WriteString(peers[0], "x")
+	is.NoErr(err)
+	_, err = first.Read(make([]byte, 1))
+	is.NoErr(err)
+	open(1)
+	<-accepted
+	is.Equal(l.ShedConns(), 2)
+}
+
+// Guards against callers that are turned away because others hold connections
+// that they opened in advance.
+func TestSilentConnectionsDoNotCountAsUnread(t *testing.T) {
+	l, open := limitedListener(t, Limits{MaxUnread: 3})
+	accepted := acceptAll(l)
+	open(3)
+	for range 3 {
+		c := <-accepted
+		l.mu.Lock()
+		c.acceptedAt = c.acceptedAt.Add(-2 * unreadTime)
+		l.mu.Unlock()
+	}
+	open(3)
+	for range 3 {
+		<-accepted
+	}
+	is.New(t).Equal(l.ShedConns(), 0)
+}
+
+// Guards against callers that take the file descriptors which a daemon needs for
+// its backend servers and its store.
+func TestOpenConnectionsAreLimited(t *testing.T) {
+	is := is.New(t)
+	l, open := limitedListener(t, Limits{MaxOpen: 2})
+	accepted := acceptAll(l)
+	peers := open(3)
+	first := <-accepted
+	<-accepted
+	wantClosed(t, peers[2])
+	is.NoErr(first.Close())
+	open(1)
+	<-accepted
+	is.Equal(l.OpenConns(), 2)
+	is.Equal(l.ShedConns(), 1)
+}
--- a/conn/dial.go
+++ b/conn/dial.go
@@ -29,6 +29,14 @@
 	}}
 }
 
+// ListenForLimits listens on a TCP address for a Listener with limits. Accepted
+// connections send keep-alive probes once the Listener has admitted them, since
+// those that it refuses should cost little.
+func ListenForLimits(ctx context.Context, address string) (net.Listener, error) {
+	l := net.ListenConfig{KeepAlive: -1}
+	return l.Listen(ctx, "tcp", address)
+}
+
 // Listen listens on a TCP address. Accepted connections send keep-alive probes,
 // so that connections to dead peers end.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -54,6 +54,10 @@
 	// the number of caller connections above which idle ones are closed. Each
 	// running call takes a further descriptor for its backend server.
 	callerConnsDivisor = 3
+	// maxUnreadConns bounds the new connections whose requests wait to be read.
+	// Even a daemon that is short of processor time reads so many before their
+	// callers leave.
+	maxUnreadConns = 128
 	// leadTime is how long a stopping daemon still accepts calls, so that the
 	// load balancer has removed it by then: the load balancer checks readiness
 	// once a second and removes a daemon after two failed checks.
@@ -251,13 +255,13 @@
 		}, d.knownDaemons),
 		Daemons: d.knownDaemons,
 	})
-	callers, err := conn.Listen(ctx, s.CallerAddress)
+	callers, err := conn.ListenForLimits(ctx, s.CallerAddress)
 	if err != nil {
 		return errors.Wrap(err, "front")
 	}
 	d.front = front.NewServer(ctx, front.Options{
 		Listener: callers, Codec: d.platform.CallerCodec, Handler: forwarder.Serve, Journal: d.journal,
-		Limits: front.Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, ReadTimeout: callerReadTimeout, IdleTimeout: callerIdleTimeout, WriteTimeout: callerWriteTimeout, MaxConns: s.MaxOpenFiles / callerConnsDivisor},
+		Limits: front.Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, ReadTimeout: callerReadTimeout, IdleTimeout: callerIdleTimeout, WriteTimeout: callerWriteTimeout, MaxConns: s.MaxOpenFiles / callerConnsDivisor, MaxUnreadConns: maxUnreadConns},
 	})
 	ready, err := conn.Listen(ctx, s.ReadinessAddress)
 	if err != nil {
--- a/edge/observe.go
+++ b/edge/observe.go
@@ -34,7 +34,7 @@
 		}
 		d.journal.Note("", "load", "service", s.Service, "servers", s.Servers, "available", s.Available, "running", s.Running,
 			"waiting", s.Waiting, "waiting_tokens", s.WaitingTokens, "mean_wait", s.MeanWait, "wasted", s.WastedCost,
-			"sweep_delay", stats.SweepDelay, "open", d.front.OpenCalls(), "connections", d.front.OpenConns(), "daemons", d.liveDaemons())
+			"sweep_delay", stats.SweepDelay, "open", d.front.OpenCalls(), "connections", d.front.OpenConns(), "shed", d.front.ShedConns(), "daemons", d.liveDaemons())
 	}
 }
 
--- a/fake/server.go
+++ b/fake/server.go
@@ -42,7 +42,7 @@
 
 // serve starts to serve on a listener.
 func (s *server) serve(l net.Listener) {
-	w := conn.NewListener(l, 0)
+	w := conn.NewListener(l, conn.Limits{})
 	s.mu.Lock()
 	s.listener = w
 	s.ctx, s.cancel = context.WithCancel(context.Background())
--- a/front/server.go
+++ b/front/server.go
@@ -21,11 +21,22 @@
 	// ReadTimeout bounds the reading of one call, IdleTimeout the time between
 	// two calls on a connection, WriteTimeout a single write of an answer.
 	ReadTimeout, IdleTimeout, WriteTimeout time.Duration
-	// MaxConns is the number of connections above which idle ones are closed; 0
-	// for no bound.
+	// MaxConns is the number of connections above which idle ones are closed,
+	// and half of the number above which new ones are closed at once; 0 for no
+	// bound.
 	MaxConns int
+	// MaxUnreadConns is the number of new connections from which no request has
+	// been read yet above which the requests on further ones are refused without
+	// being parsed; 0 for no bound. Callers leave a request that is not read for
+	// some time. Without a bound, a daemon that reads too slowly would read only
+	// requests that have been left.
+	MaxUnreadConns int
 }
 
+// maxConnsFactor is the ratio of the number of connections above which new ones
+// are closed to the number above which idle ones are.
+const maxConnsFactor = 2
+
 // maxConcurrency is more than the number of connections that a process can
 // open, so that fasthttp never sends its own refusal, which does not tell the
 // caller that the call did not run.
@@ -76,7 +87,9 @@
 // NewServer starts a server. It serves callers until Shutdown is called; the
 // end of the context cancels its calls but does not close the listener.
 func NewServer(ctx context.Context, o Options) *Server {
-	s := &Server{o: o, listener: conn.NewListener(o.Listener, o.Limits.WriteTimeout)}
+	s := &Server{o: o, listener: conn.NewListener(o.Listener, conn.Limits{
+		WriteTimeout: o.Limits.WriteTimeout, MaxOpen: o.Limits.MaxConns * maxConnsFactor, MaxUnread: o.Limits.MaxUnreadConns, RefusalResponse: overloadResponse(o.Codec),
+	})}
 	s.ctx, s.cancel = context.WithCancel(ctx)
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
@@ -107,6 +120,19 @@
 	return s
 }
 
+// overloadRetryDelay is the retry delay stated to callers whose request is
+// refused without being parsed.
+const overloadRetryDelay = time.Second
+
+// overloadResponse returns the response to requests that are refused without
+// being parsed.
+func overloadResponse(codec Codec) []byte {
+	var r fasthttp.Response
+	codec.WriteRefusal(&r, nil, wigeonladder.Errorf(wigeonladder.CodeOverload, "", "too many requests wait to be read").WithRetryDelay(overloadRetryDelay))
+	r.SetConnectionClose()
+	return []byte(r.String())
+}
+
 // serverLog receives the log lines of fasthttp.
 type serverLog struct{ journal wigeonladder.Journal }
 
@@ -128,6 +154,10 @@
 // OpenConns returns the number of open connections of callers.
 func (s *Server) OpenConns() int { return s.listener.OpenConns() }
 
+// ShedConns returns the number of connections that were not accepted because of
+// a limit, since the start.
+func (s *Server) ShedConns() int { return s.listener.ShedConns() }
+
 // handle answers one request. Once a shutdown has begun, every answer whose
 // header is not yet sent closes its connection, so that no caller keeps it.
 func (s *Server) handle(c *fasthttp.RequestCtx) {
