forward: calls are checked for their caller and deadline right before sending

Cause: that a caller has left, or that the deadline has passed, is known once a goroutine or a timer has run. In a daemon short of processor time that is seconds later, and the call is sent meanwhile.

The last check before the first byte now looks at the caller's connection itself, without waiting, and at the clock. TestLateCallsAreNotSent and TestPeerGone; before, only the context was asked.

--- a/call.go
+++ b/call.go
@@ -94,6 +94,10 @@
 // SendWhole once; Refuse once; or BeginStream, then SendEvent for each event,
 // then EndStream or Abort.
 type Reply interface {
+	// CallerGone reports whether the caller has closed its connection. The
+	// context of the call ends then as well, but later if the daemon is short of
+	// processor time.
+	CallerGone() bool
 	// SendWhole sends a complete answer of a backend server.
 	SendWhole(a Answer, body []byte) error
 	// BeginStream sends the head of a stream.
--- a/conn/conn.go
+++ b/conn/conn.go
@@ -260,6 +260,26 @@
 	return func() { c.stopWatch(w) }
 }
 
+// PeerGone reports whether the peer has closed or reset the connection and has
+// sent nothing before that which is still unread. It does not wait.
+func (c *Conn) PeerGone() bool {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return true
+	}
+	gone := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT) // #nosec G115
+		gone = n == 0 && e == nil || errors.Is(e, syscall.ECONNRESET)
+	})
+	return gone || err != nil
+}
+
 // stopRequested reports whether stopWatch was called for this watch.
 func (w *watch) stopRequested() bool {
 	w.mu.Lock()
--- a/conn/conn_test.go
+++ b/conn/conn_test.go
@@ -55,6 +55,28 @@
 	is.Equal(err, io.EOF)
 }
 
+// Guards against a caller that has left and is noticed only once a goroutine
+// has been scheduled, and against one that counts as gone although it has sent
+// more or waits.
+func TestPeerGone(t *testing.T) {
+	c, peer, _ := connPair(t, 0)
+	is := is.New(t)
+	stop := c.Watch(func() {})
+	defer stop()
+	is.True(!c.PeerGone())
+	is.NoErr(peer.Close())
+	for end := time.Now().Add(deadline); !c.PeerGone(); {
+		is.True(time.Now().Before(end))
+	}
+	c, peer, _ = connPair(t, 0)
+	_, err := io.WriteString(peer, "next")
+	is.NoErr(err)
+	is.NoErr(peer.Close())
+	_, err = c.Read(make([]byte, 1))
+	is.NoErr(err)
+	is.True(!c.PeerGone())
+}
+
 // Guards against lost bytes, and against reports of a disconnect that did not
 // happen, when a watch stops before, while or after bytes arrive.
 func TestWatchKeepsBytes(t *testing.T) {
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -58,7 +58,7 @@
 	switch {
 	case err == nil:
 		return place.Completed
-	case err.Code == wigeonladder.CodeContractLate, err.Code == wigeonladder.CodeSuspect,
+	case err.Code == wigeonladder.CodeContractLate, err.Code == wigeonladder.CodeSuspect, err.Code == wigeonladder.CodeWaitTooLong,
 		err.Code == wigeonladder.CodeCallerGone, err.Code == wigeonladder.CodeCallerLost:
 		return place.Inconclusive
 	case err.Code == wigeonladder.CodeRefused:
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -217,9 +217,13 @@
 
 // checkBeforeSend is the last check before the first byte is sent.
 func (r *callRun) checkBeforeSend(ctx context.Context, i wigeonladder.Instance) error {
-	if ctx.Err() != nil {
+	// The context ends late when many goroutines wait for the processor.
+	if ctx.Err() != nil || r.reply.CallerGone() {
 		return wigeonladder.Errorf(wigeonladder.CodeCallerGone, i.ID, "the caller went before the call was sent")
 	}
+	if !time.Now().Before(r.deadline) {
+		return wigeonladder.Errorf(wigeonladder.CodeWaitTooLong, i.ID, "the deadline passed before the call was sent").WithRetryDelay(unavailableRetryDelay)
+	}
 	if !r.forwarder.options.Pool.Allowed(i) {
 		return wigeonladder.Errorf(wigeonladder.CodeContractLate, i.ID, "the backend server is leaving")
 	}
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -53,12 +53,14 @@
 type outcome struct {
 	err     *wigeonladder.Error
 	aborted bool
+	gone    bool
 }
 
 func (o *outcome) SendWhole(wigeonladder.Answer, []byte) error { return errors.New("not scripted") }
 func (o *outcome) BeginStream(wigeonladder.Answer) error       { return errors.New("not scripted") }
 func (o *outcome) SendEvent([]byte) error                      { return errors.New("not scripted") }
 func (o *outcome) EndStream() error                            { return errors.New("not scripted") }
+func (o *outcome) CallerGone() bool                            { return o.gone }
 func (o *outcome) Abort()                                      { o.aborted = true }
 func (o *outcome) Refuse(e *wigeonladder.Error)                { o.err = e }
 
@@ -241,3 +243,30 @@
 		is.Equal(time.Since(began), 2*time.Second)
 	})
 }
+
+// Guards against a call that is sent after its caller has left or its deadline
+// has passed, because a daemon that is short of processor time learns of it
+// late.
+func TestLateCallsAreNotSent(t *testing.T) {
+	for name, x := range map[string]struct {
+		gone bool
+		late time.Duration
+		code wigeonladder.Code
+	}{
+		"caller gone":     {true, 0, wigeonladder.CodeCallerGone},
+		"deadline passed": {false, 3 * time.Second, wigeonladder.CodeWaitTooLong},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, nil, func(t *testing.T, r *rig) {
+				is := is.New(t)
+				call := &wigeonladder.Call{ID: "id", Method: "POST", Host: "h", Path: "/safe/", Received: time.Now()}
+				run := &callRun{forwarder: r.Forwarder, call: call, reply: &outcome{gone: x.gone}}
+				is.True(run.admit() == nil)
+				time.Sleep(x.late)
+				lease, err := r.options.Pool.Acquire(t.Context(), run.job)
+				is.True(err == nil)
+				is.Equal(asError(run.checkBeforeSend(t.Context(), lease.Instance)).Code, x.code)
+			})
+		})
+	}
+}
--- a/front/reply.go
+++ b/front/reply.go
@@ -24,6 +24,9 @@
 
 var _ wigeonladder.Reply = (*reply)(nil)
 
+// CallerGone implements wigeonladder.Reply.
+func (r *reply) CallerGone() bool { return r.conn.PeerGone() }
+
 // SendWhole implements wigeonladder.Reply.
 func (r *reply) SendWhole(a wigeonladder.Answer, body []byte) error {
 	r.setHead(a)
