conn: refusals of connections read the request in one piece, 1,024 at a time

A refused caller gets Retry-After, one that is cut off comes back at once. A request of 17 KB is read in one call in place of four.

--- a/conn/conn.go
+++ b/conn/conn.go
@@ -43,7 +43,7 @@
 
 // maxShedding is the number of connections that may be refused at the same
 // time; further ones are closed at once.
-const maxShedding = 256
+const maxShedding = 1024
 
 // Listener accepts connections as *Conn and keeps track of those that are open.
 type Listener struct {
@@ -99,23 +99,33 @@
 	}
 }
 
+// refusalBuffers pools the buffers into which refused requests are read.
+var refusalBuffers = sync.Pool{New: func() any { return new([32 << 10]byte) }}
+
 // refuseRequest answers the request on a connection without parsing it, and
 // closes the connection. It reads what the peer still sends, as Close does after
 // Linger.
 func refuseRequest(n net.Conn, response []byte) {
 	defer n.Close()
+	b, _ := refusalBuffers.Get().(*[32 << 10]byte)
+	defer refusalBuffers.Put(b)
 	if n.SetDeadline(time.Now().Add(lingerTimeout)) != nil {
 		return
 	}
-	var b [1]byte
 	if _, err := n.Read(b[:]); err != nil {
 		return
 	}
 	if _, err := n.Write(response); err != nil {
 		return
 	}
-	if w, ok := n.(interface{ CloseWrite() error }); ok && w.CloseWrite() == nil {
-		_, _ = io.Copy(io.Discard, n)
+	w, ok := n.(interface{ CloseWrite() error })
+	if !ok || w.CloseWrite() != nil {
+		return
+	}
+	for {
+		if _, err := n.Read(b[:]); err != nil {
+			return
+		}
 	}
 }
 
