front, conn: the refusal of an unread request is written when it is sent

It was prepared at the start and so had the date of the start. ListenForLimits is called ListenWithoutKeepAlive, after what it does.

--- a/conn/conn.go
+++ b/conn/conn.go
@@ -36,9 +36,10 @@
 	MaxOpen int
 	// MaxUnread is the number of new connections from which nothing has been
 	// read yet up to which further connections are accepted. On others the first
-	// request is answered with RefusalResponse, without being parsed.
+	// request is answered with the result of RefusalResponse, without being
+	// parsed.
 	MaxUnread       int
-	RefusalResponse []byte
+	RefusalResponse func() []byte
 }
 
 // maxShedding is the number of connections that may be refused at the same
@@ -94,7 +95,7 @@
 		l.shedding.Add(1)
 		go func() {
 			defer l.shedding.Add(-1)
-			refuseRequest(n, l.limits.RefusalResponse)
+			refuseRequest(n, l.limits.RefusalResponse())
 		}()
 	}
 }
--- a/conn/conn_test.go
+++ b/conn/conn_test.go
@@ -213,13 +213,18 @@
 // have left, because it accepts more connections than it can read.
 func TestUnreadConnectionsAreLimited(t *testing.T) {
 	is := is.New(t)
-	l, open := limitedListener(t, Limits{MaxUnread: 3, RefusalResponse: []byte("no")})
+	l, open := limitedListener(t, Limits{MaxUnread: 3, RefusalResponse: func() []byte { return []byte("no") }})
 	accepted := acceptAll(l)
-	peers := open(5)
-	first := <-accepted
-	<-accepted
-	<-accepted
-	for _, c := range peers[3:] {
+	peers := open(3)
+	var conns []*Conn
+	for range peers {
+		c := <-accepted
+		l.mu.Lock()
+		c.acceptedAt = time.Now().Add(deadline) // counts as unread however long the test takes
+		l.mu.Unlock()
+		conns = append(conns, c)
+	}
+	for _, c := range open(2) {
 		_, err := io.WriteString(c, strings.Repeat("request", 10_000))
 		is.NoErr(err)
 		is.NoErr(c.SetReadDeadline(time.Now().Add(deadline)))
@@ -232,7 +237,7 @@
 
 	_, err := io.WriteString(peers[0], "x")
 	is.NoErr(err)
-	_, err = first.Read(make([]byte, 1))
+	_, err = conns[0].Read(make([]byte, 1))
 	is.NoErr(err)
 	open(1)
 	<-accepted
--- a/conn/dial.go
+++ b/conn/dial.go
@@ -29,10 +29,10 @@
 	}}
 }
 
-// ListenForLimits listens on a TCP address for a Listener with limits. Accepted
-// connections send keep-alive probes once the Listener has admitted them, since
-// those that it refuses should cost little.
-func ListenForLimits(ctx context.Context, address string) (net.Listener, error) {
+// ListenWithoutKeepAlive listens on a TCP address for a Listener, which sets
+// keep-alive probes only for the connections that it accepts. Those that it
+// refuses then cost fewer system calls.
+func ListenWithoutKeepAlive(ctx context.Context, address string) (net.Listener, error) {
 	l := net.ListenConfig{KeepAlive: -1}
 	return l.Listen(ctx, "tcp", address)
 }
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -255,7 +255,7 @@
 		}, d.knownDaemons),
 		Daemons: d.knownDaemons,
 	})
-	callers, err := conn.ListenForLimits(ctx, s.CallerAddress)
+	callers, err := conn.ListenWithoutKeepAlive(ctx, s.CallerAddress)
 	if err != nil {
 		return errors.Wrap(err, "front")
 	}
--- a/front/server.go
+++ b/front/server.go
@@ -88,7 +88,8 @@
 // end of the context cancels its calls but does not close the listener.
 func NewServer(ctx context.Context, o Options) *Server {
 	s := &Server{o: o, listener: conn.NewListener(o.Listener, conn.Limits{
-		WriteTimeout: o.Limits.WriteTimeout, MaxOpen: o.Limits.MaxConns * maxConnsFactor, MaxUnread: o.Limits.MaxUnreadConns, RefusalResponse: overloadResponse(o.Codec),
+		WriteTimeout: o.Limits.WriteTimeout, MaxOpen: o.Limits.MaxConns * maxConnsFactor,
+		MaxUnread: o.Limits.MaxUnreadConns, RefusalResponse: func() []byte { return overloadResponse(o.Codec) },
 	})}
 	s.ctx, s.cancel = context.WithCancel(ctx)
 	s.http = &fasthttp.Server{
@@ -124,7 +125,7 @@
 // refused without being parsed.
 const overloadRetryDelay = time.Second
 
-// overloadResponse returns the response to requests that are refused without
+// overloadResponse returns the response to a request that is refused without
 // being parsed.
 func overloadResponse(codec Codec) []byte {
 	var r fasthttp.Response
