--- a/conn/conn.go
+++ b/conn/conn.go
@@ -107,7 +107,7 @@
 // closes the connection. It reads what the peer still sends, as Close does after
 // Linger.
 func refuseRequest(n net.Conn, response []byte) {
-	defer n.Close()
+	defer func() { _ = n.Close() }()
 	b, _ := refusalBuffers.Get().(*[32 << 10]byte)
 	defer refusalBuffers.Put(b)
 	if n.SetDeadline(time.Now().Add(lingerTimeout)) != nil {
