--- a/fair/window.go
+++ b/fair/window.go
@@ -135,12 +135,6 @@
 	ownThrottledAt time.Time
 }
 
-// ring is a sum over the steps of the window.
-type ring struct {
-	step  int64
-	parts [windowSteps]float64
-}
-
 // NewWindow returns an empty window. The function daemons returns the number of
 // daemons that report to each other; nil means one.
 func NewWindow(daemons func() int) *Window {
@@ -380,40 +374,3 @@
 
 // step returns the number of the step that contains now.
 func (w *Window) step(now time.Time) int64 { return int64(now.Sub(w.start) / windowStep) }
-
-// advance clears the expired steps and returns the current one.
-func (g *ring) advance(step int64) *float64 {
-	for n := min(step-g.step, windowSteps); n > 0; n-- {
-		g.parts[(step-n+1)%windowSteps] = 0
-	}
-	g.step = max(step, g.step)
-	return &g.parts[g.step%windowSteps]
-}
-
-// add adds v to the current step.
-func (g *ring) add(step int64, v float64) { *g.advance(step) += v }
-
-// spread adds v evenly to all steps.
-func (g *ring) spread(step int64, v float64) {
-	g.advance(step)
-	for i := range g.parts {
-		g.parts[i] += v / windowSteps
-	}
-}
-
-// scale multiplies all steps by f.
-func (g *ring) scale(f float64) {
-	for i := range g.parts {
-		g.parts[i] *= f
-	}
-}
-
-// sum returns the sum over the window.
-func (g *ring) sum(step int64) float64 {
-	g.advance(step)
-	s := 0.0
-	for _, p := range g.parts {
-		s += p
-	}
-	return s
-}
