place: a daemon that is late blocks no server

Cause: the flooded daemon's timers are 80 to 560 ms late, so that its dials, which have 300 ms, fail by themselves.

TestLateDaemonBlocksNoServer fails without it.

--- a/place/pool.go
+++ b/place/pool.go
@@ -40,6 +40,8 @@
 	// was late at most since the last call of Stats.
 	sweptAt       time.Time
 	maxSweepDelay time.Duration
+	// lateUntil is until when the daemon counts as late.
+	lateUntil time.Time
 }
 
 // serviceState is the state of one service.
@@ -83,9 +85,16 @@
 	return p
 }
 
-// sweepPeriod is the interval between two checks of waiting jobs when no event
-// triggers one earlier.
-const sweepPeriod = 20 * time.Millisecond
+const (
+	// sweepPeriod is the interval between two checks of waiting jobs when no
+	// event triggers one earlier.
+	sweepPeriod = 20 * time.Millisecond
+	// lateSweepDelay is the delay of a sweep from which the daemon counts as
+	// late, lateTime for how long it does. A late daemon lacks processor time, so
+	// that its own timeouts tell nothing about the servers.
+	lateSweepDelay = 100 * time.Millisecond
+	lateTime       = time.Second
+)
 
 // serviceState returns the state of a service and creates it if it does not
 // exist.
@@ -305,7 +314,9 @@
 		s.recordOutcome(true, now)
 	case Unreachable:
 		s.recordOutcome(true, now)
-		s.blockUnreachable(now)
+		if !p.isLate(now) {
+			s.blockUnreachable(now)
+		}
 	case Inconclusive:
 	}
 }
--- a/place/queue.go
+++ b/place/queue.go
@@ -257,15 +257,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	if !p.sweptAt.IsZero() {
-		p.maxSweepDelay = max(p.maxSweepDelay, now.Sub(p.sweptAt)-sweepPeriod)
-	}
-	p.sweptAt = now
+	p.recordSweep(now)
+	late := p.isLate(now)
 	for _, g := range p.services {
 		for _, s := range g.order {
 			s.expire(now)
 			for l := range s.leases {
-				if !l.gotFirstToken && !l.countedSilent && now.Sub(l.sentAt) > l.ExpectedFirstToken+min(max(l.job.TargetLatency, firstByteGraceMin), firstByteGraceMax) {
+				if !late && !l.gotFirstToken && !l.countedSilent && now.Sub(l.sentAt) > l.ExpectedFirstToken+min(max(l.job.TargetLatency, firstByteGraceMin), firstByteGraceMax) {
 					l.countedSilent = true
 					s.recordOutcome(true, now)
 				}
--- a/place/stats_test.go
+++ b/place/stats_test.go
@@ -41,3 +41,25 @@
 		is.Equal(r.Stats().SweepDelay, time.Duration(0))
 	})
 }
+
+// Guards against a daemon that lacks processor time and takes servers for
+// unreachable, because its own timeouts pass meanwhile.
+func TestLateDaemonBlocksNoServer(t *testing.T) {
+	bubble(t, 1, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		time.Sleep(10 * sweepPeriod)
+		synctest.Wait()
+		r.mu.Lock()
+		r.sweptAt = r.sweptAt.Add(-time.Second)
+		r.mu.Unlock()
+		r.acquire(t, r.job("w", "s")).End(Unreachable)
+		is.True(!r.Dump()[0].Blocked)
+		time.Sleep(sweepPeriod)
+		synctest.Wait()
+		r.acquire(t, r.job("w", "s")).End(Unreachable)
+		is.True(!r.Dump()[0].Blocked)
+		time.Sleep(lateTime)
+		r.acquire(t, r.job("w", "s")).End(Unreachable)
+		is.True(r.Dump()[0].Blocked)
+	})
+}
