--- a/place/pool.go
+++ b/place/pool.go
@@ -36,7 +36,7 @@
 	services map[string]*serviceState
 	// sentParts contains the prompt parts that were sent since the last report.
 	sentParts []SentPart
-	// sweptAt is when sweep last ran, maxSweepDelay by how much one of its runs
+	// sweptAt is when sweep last ran, or the start; maxSweepDelay by how much one of its runs
 	// was late at most since the last call of Stats.
 	sweptAt       time.Time
 	maxSweepDelay time.Duration
@@ -69,7 +69,7 @@
 	if o.LiveDaemons == nil {
 		o.LiveDaemons = func() int { return 1 }
 	}
-	p := &Pool{options: o, services: map[string]*serviceState{}}
+	p := &Pool{options: o, services: map[string]*serviceState{}, sweptAt: time.Now()}
 	go func() {
 		t := time.NewTicker(sweepPeriod)
 		defer t.Stop()
--- a/place/stats.go
+++ b/place/stats.go
@@ -66,17 +66,15 @@
 
 // recordSweep records that sweep runs now.
 func (p *Pool) recordSweep(now time.Time) {
-	if !p.sweptAt.IsZero() {
-		delay := now.Sub(p.sweptAt) - sweepPeriod
-		p.maxSweepDelay = max(p.maxSweepDelay, delay)
-		if delay > lateSweepDelay {
-			p.lateUntil = now.Add(lateTime)
-		}
+	delay := now.Sub(p.sweptAt) - sweepPeriod
+	p.maxSweepDelay = max(p.maxSweepDelay, delay)
+	if delay > lateSweepDelay {
+		p.lateUntil = now.Add(lateTime)
 	}
 	p.sweptAt = now
 }
 
 // isLate reports whether the daemon lacks processor time.
 func (p *Pool) isLate(now time.Time) bool {
-	return now.Before(p.lateUntil) || !p.sweptAt.IsZero() && now.Sub(p.sweptAt)-sweepPeriod > lateSweepDelay
+	return now.Before(p.lateUntil) || now.Sub(p.sweptAt)-sweepPeriod > lateSweepDelay
 }
