--- a/place/flood_test.go
+++ b/place/flood_test.go
@@ -36,6 +36,8 @@
 			maxWaiting = max(maxWaiting, r.Stats().Services[1].Waiting)
 		}
 		time.Sleep(5 * time.Second)
+		r.mu.Lock()
+		defer r.mu.Unlock()
 		is.True(maxWaiting <= minQueueJobs)
 		is.True(refused > 1000)
 		is.True(waited <= refused/10)
