setting, deploy: numbers of any length in an edge daemon's settings

The same class: fractions of memory and descriptors, exponents in durations, and fields that the platform leaves out, which became empty values.

What cannot be used is refused with the name of its key.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -251,7 +251,7 @@
 	forwarder := forward.New(forward.Options{
 		TableStore: d.tableStore, Pool: d.pool, Sender: d.relay, Suspects: d.suspects, Journal: d.journal, Meter: d.meter,
 		Budget: retry.NewSharedBudget(retry.Allowance{
-			Ratio: s.RetryBudget.Ratio, Slack: s.RetryBudget.Slack, Period: time.Duration(s.RetryBudget.Period),
+			Ratio: float64(s.RetryBudget.Ratio), Slack: float64(s.RetryBudget.Slack), Period: time.Duration(s.RetryBudget.Period),
 		}, d.knownDaemons),
 		Daemons: d.knownDaemons,
 	})
@@ -261,7 +261,7 @@
 	}
 	d.front = front.NewServer(ctx, front.Options{
 		Listener: callers, Codec: d.platform.CallerCodec, Handler: forwarder.Serve, Journal: d.journal,
-		Limits: front.Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, ReadTimeout: callerReadTimeout, IdleTimeout: callerIdleTimeout, WriteTimeout: callerWriteTimeout, MaxConns: s.MaxOpenFiles / callerConnsDivisor, MaxUnreadConns: maxUnreadConns},
+		Limits: front.Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, ReadTimeout: callerReadTimeout, IdleTimeout: callerIdleTimeout, WriteTimeout: callerWriteTimeout, MaxConns: int(s.MaxOpenFiles) / callerConnsDivisor, MaxUnreadConns: maxUnreadConns},
 	})
 	ready, err := conn.Listen(ctx, s.ReadinessAddress)
 	if err != nil {
--- a/setting/duration.go
+++ b/setting/duration.go
@@ -2,6 +2,9 @@
 
 import (
 	"encoding/json"
+	"math"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,6 +44,9 @@
 // parseDuration parses a duration between 0 and maxDuration.
 func parseDuration(s string) (time.Duration, error) {
 	d, err := time.ParseDuration(s)
+	if err != nil {
+		d, err = parseExponent(s)
+	}
 	if err != nil {
 		return 0, errors.New("a duration has a unit, such as \"3s\" or \"500ms\"")
 	}
@@ -49,3 +55,22 @@
 	}
 	return d, nil
 }
+
+// parseExponent parses one decimal number with an exponent or of any size and its
+// unit, which time.ParseDuration does not. A duration that is too long for the type
+// becomes its maximum.
+func parseExponent(s string) (time.Duration, error) {
+	number := strings.TrimRight(s, "abcdefghijklmnopqrstuvwxyz")
+	unit, err := time.ParseDuration("1" + s[len(number):])
+	if err != nil {
+		return 0, errors.Wrap(err, "unit")
+	}
+	v, err := strconv.ParseFloat(number, 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) || !isDecimal(number) {
+		return 0, errors.Errorf("not a decimal number: %q", number)
+	}
+	if v *= float64(unit); v >= math.MaxInt64 {
+		return math.MaxInt64, nil
+	}
+	return time.Duration(max(v, -1)), nil
+}
--- a/setting/edge.go
+++ b/setting/edge.go
@@ -21,9 +21,9 @@
 	// first in order to join the fleet.
 	Seeds []string `json:"seeds,omitempty"`
 	// MemoryMB is the memory that the process may use, in units of 2^20 bytes.
-	MemoryMB int `json:"memory"`
+	MemoryMB Count `json:"memory"`
 	// MaxOpenFiles is the number of file descriptors that the process may open.
-	MaxOpenFiles int `json:"files"`
+	MaxOpenFiles Count `json:"files"`
 	// ShutdownGracePeriod is the time that the process has between the signal to
 	// stop and its exit.
 	ShutdownGracePeriod Duration `json:"grace"`
@@ -43,13 +43,18 @@
 // store is polled several times within these delays.
 const minApplyOrLeaveDelay = 500 * time.Millisecond
 
+// minMemoryMB and minOpenFiles are the smallest values of MemoryMB and
+// MaxOpenFiles with which a daemon can serve.
+const (
+	minMemoryMB  = 32
+	minOpenFiles = 256
+)
+
 // RetryBudget bounds the retries that all daemons together may make of calls to
-// one service: in each Period, Ratio times the number of calls plus Slack. Ratio
-// and Slack are decimal fractions and written as strings, since every number in
-// settings is an integer.
+// one service: in each Period, Ratio times the number of calls plus Slack.
 type RetryBudget struct {
-	Ratio  float64  `json:"ratio,string"`
-	Slack  float64  `json:"slack,string"`
+	Ratio  Decimal  `json:"ratio"`
+	Slack  Decimal  `json:"slack"`
 	Period Duration `json:"period"`
 }
 
@@ -88,6 +93,12 @@
 				c.addUnlessRejected(x.key, "must be at least %s", minApplyOrLeaveDelay)
 			}
 		}
+		if s.MemoryMB < minMemoryMB {
+			c.addUnlessRejected("memory", "must be at least %d", minMemoryMB)
+		}
+		if s.MaxOpenFiles < minOpenFiles {
+			c.addUnlessRejected("files", "must be at least %d", minOpenFiles)
+		}
 		if s.RetryBudget.Period <= 0 {
 			c.addUnlessRejected("retry.period", "must be longer than 0s")
 		}
--- a/setting/format.go
+++ b/setting/format.go
@@ -23,6 +23,7 @@
 		{Name: "hash", Validate: forStrings(checkHash)},
 		{Name: "prefix", Validate: forStrings(checkPrefix)},
 		{Name: "interval", Validate: forStrings(checkInterval)},
+		{Name: "decimal", Validate: forStrings(checkDecimal)},
 	}
 }
 
@@ -88,3 +89,8 @@
 	_, err := parseDuration(s)
 	return err
 }
+
+func checkDecimal(s string) error {
+	_, err := parseDecimal(s)
+	return err
+}
