backend: a refusal without an id is believed only for the first call of a connection

Cause: the relay took any answer that says "not run" and states no id for the answer to its call. A faulty server that writes an earlier refusal once more on a kept connection made a caller hear "not run" for a call that ran (REFUSED), or sent the call to a second server (TWICE). A refusal with the id of its own call was skipped already. Client, of the product's own interface, believes refusals with the attempt's id only.

Change: such a refusal counts only if the call is the first on its connection. On a used one, a call that may be repeated fails and moves on, any other waits for an answer with its id. A connection is not used again after an answer without an id or with another one. Ways weighed: no reuse alone leaves a refusal that comes after a proper answer; no trust at all costs honest servers without ids every retry.

--- a/backend/endless_test.go
+++ b/backend/endless_test.go
@@ -125,6 +125,7 @@
 	return AnswerHead{
 		Answer: wigeonladder.Answer{Status: h.StatusCode(), Stream: string(h.ContentType()) == streamType},
 		ID:     string(h.Peek(HeaderAttempt)),
+		NotRun: len(h.Peek(HeaderNotRun)) > 0,
 	}
 }
 
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -73,6 +73,7 @@
 // Write implements io.Writer. It counts the bytes that were written to the
 // connection.
 func (x *exchange) Write(b []byte) (int, error) {
+	x.conn.used = true
 	n, err := x.conn.Write(b)
 	x.writtenBytes += n
 	return n, err
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -30,6 +30,8 @@
 	keepAliveTimeout time.Duration
 	// readable is the number of bytes that may still be read.
 	readable int64
+	// used is true once a request has been written to the connection.
+	used bool
 }
 
 // allowRead sets the number of bytes that may be read from the connection from
@@ -118,13 +120,28 @@
 // putWithLimit does the same as put, but keeps at most maxIdleConns idle
 // connections to the address.
 func (p *pool) putWithLimit(address string, conn *serverConn, reuse bool, maxIdleConns int) {
+	conn.idleSince = time.Now()
+	p.keep(address, conn, reuse, maxIdleConns)
+}
+
+// putUnused puts a connection back to which nothing was written since get
+// returned it. The time for which it has been idle goes on.
+func (p *pool) putUnused(conn *serverConn) {
+	if conn.idleSince.IsZero() {
+		conn.idleSince = time.Now()
+	}
+	p.keep(conn.address, conn, true, p.maxIdleConns)
+}
+
+// keep keeps a connection for reuse if reuse is true and the pool has room.
+// Otherwise it closes the connection.
+func (p *pool) keep(address string, conn *serverConn, reuse bool, maxIdleConns int) {
 	if !reuse || conn.reader.Buffered() > 0 || conn.SetDeadline(time.Time{}) != nil {
 		_ = conn.Close()
 		return
 	}
-	conn.idleSince = time.Now()
 	p.mu.Lock()
-	toClose := p.sweep(conn.idleSince)
+	toClose := p.sweep(time.Now())
 	if p.closed || len(p.idle[address]) >= maxIdleConns {
 		toClose = append(toClose, conn)
 	} else {
--- a/backend/relay.go
+++ b/backend/relay.go
@@ -133,8 +133,11 @@
 	events *eventReader
 	// writeResult receives the result of a background write; nil if the request
 	// was written directly.
-	writeResult  chan error
-	fullyRead    bool
+	writeResult chan error
+	fullyRead   bool
+	// unmatched is true once an answer arrived that states no id or that of
+	// another call. More such answers may follow on the connection.
+	unmatched    bool
 	maxIdleConns int
 }
 
@@ -147,9 +150,10 @@
 		return nil, asError(notSentError(ctx, serverID, err))
 	}
 	if err := a.BeforeSend(); err != nil {
-		r.pool.put(c.address, c, true)
+		r.pool.putUnused(c)
 		return nil, asError(err)
 	}
+	firstOnConn := !c.used
 	p := &Response{relay: r, exchange: newExchange(ctx, c), ctx: ctx, place: serverID, maxIdleConns: relayMaxIdleConns}
 	if a.MaxIdleConns > 0 {
 		p.maxIdleConns = min(a.MaxIdleConns, relayMaxIdleConns)
@@ -161,7 +165,7 @@
 		}
 		return nil, asError(mayHaveRunError(ctx, serverID, err))
 	}
-	if err := p.readAnswerHead(a.Call.ID); err != nil {
+	if err := p.readAnswerHead(a, firstOnConn); err != nil {
 		p.Close()
 		return nil, asError(mayHaveRunError(ctx, serverID, err))
 	}
@@ -217,19 +221,29 @@
 
 // readAnswerHead reads the head of the answer to the call. It skips up to
 // maxSkippedAnswers whole answers to other calls that arrive first.
-func (p *Response) readAnswerHead(callID string) error {
+//
+// A refusal without an id belongs to the call only if the call is the first on
+// its connection. On a used connection the server may have repeated an earlier
+// refusal while it runs this call: a call that may not be repeated then waits
+// for an answer with its id, any other fails and may be sent to another server.
+func (p *Response) readAnswerHead(a CallAttempt, firstOnConn bool) error {
 	for range maxSkippedAnswers + 1 {
 		if err := p.exchange.readHeader(); err != nil {
 			return err
 		}
 		p.AnswerHead = p.relay.codec.ReadAnswerHead(&p.exchange.header)
-		if p.ID == callID || p.ID == "" && p.NotRun {
+		refusalWithoutID := p.ID == "" && p.NotRun
+		if p.ID != a.Call.ID {
+			p.unmatched = true
+		}
+		if p.ID == a.Call.ID || refusalWithoutID && firstOnConn {
 			p.exchange.conn.keepAliveTimeout = p.KeepAliveTimeout
 			return nil
 		}
-		if p.exchange.header.ContentLength() < -1 {
+		if refusalWithoutID && !a.AtMostOnce || p.exchange.header.ContentLength() < -1 {
 			break
 		}
+		firstOnConn = false
 		if _, err := p.exchange.readBody(maxRelayAnswerBytes); err != nil {
 			return err
 		}
@@ -274,9 +288,10 @@
 }
 
 // Close ends the exchange. The connection is kept for reuse only if the request
-// was written and the answer read completely.
+// was written, the answer was read completely, and every answer on the
+// connection stated the id of its call.
 func (p *Response) Close() {
-	reuse := p.fullyRead && p.isWritten()
+	reuse := p.fullyRead && !p.unmatched && p.isWritten()
 	if !p.exchange.finish() {
 		reuse = false
 	}
--- a/edge/fault_test.go
+++ b/edge/fault_test.go
@@ -56,6 +56,39 @@
 	})
 }
 
+// Guards against a caller that is told "not run", or a call that runs at a second
+// server, because a faulty server wrote an earlier refusal once more.
+func TestRepeatedRefusals(t *testing.T) {
+	for _, path := range []string{"/once/x", "/safe/x"} {
+		t.Run(path[1:5], func(t *testing.T) {
+			r := newRig(t)
+			is := is.New(t)
+			for _, s := range r.apps {
+				s.SetFault(func(n int, _ *http.Request) stub.Fault {
+					if n%3 == 0 {
+						return stub.RepeatedRefusal
+					}
+					return stub.NoFault
+				})
+			}
+			for range 30 {
+				c := r.call(path)
+				reply := r.do(c)
+				runs := len(r.runs(c.ID))
+				if path == "/once/x" {
+					is.True(runs <= 1)
+				}
+				if reply.Status == 503 {
+					is.Equal(runs, 0)
+				}
+				if reply.Status == 200 {
+					wantWhole(t, c, reply)
+				}
+			}
+		})
+	}
+}
+
 // Guards against a safe call that is not retried, or is retried more often than
 // its route allows.
 func TestSafeCallsAreRetried(t *testing.T) {
--- a/edge/rig_test.go
+++ b/edge/rig_test.go
@@ -64,7 +64,9 @@
 
 // withRetry sets the retry budget.
 func withRetry(ratio, slack float64) option {
-	return func(s *setup) { s.settings.RetryBudget.Ratio, s.settings.RetryBudget.Slack = setting.Decimal(ratio), setting.Decimal(slack) }
+	return func(s *setup) {
+		s.settings.RetryBudget.Ratio, s.settings.RetryBudget.Slack = setting.Decimal(ratio), setting.Decimal(slack)
+	}
 }
 
 // newRig starts a rig; it ends with the test.
