forward, front, backend: a broken stream goes on from its last event or breaks

Cause, shown by edge.TestBrokenStreamsGoOnOrBreak (a stream cut at each byte, in three framings, then thirteen kinds of answer of the next server) and TestOtherStreamsAreNotJoined: - a resumed stream whose events have no numbers, or other ones, was appended to what the caller had (ORDER); - a stream of a route that may not be resumed, or without ids, was sent again from its start after the caller had a part of it; - towards a caller of HTTP/1.0 a stream was broken off by closing the connection, which ends it as if it were complete (MIXED); - an answer without a length that ended before its first event ended the caller's stream as complete.

Change: data without the next number ends a resumed stream with an error; a stream that cannot be resumed is not sent again once it has begun; broken streams without chunks end with a reset; a stream without a length needs an event to be complete.

Found right, with the same tests: a status in the middle of a stream, its text or head, a refusal, a gap, a cut head never reach the caller. Answers cut off in their head or body give 502 on the whole path (TestCutAnswersAreNotWhole, which passes before, too).

--- a/backend/relay.go
+++ b/backend/relay.go
@@ -129,8 +129,10 @@
 	exchange *exchange
 	ctx      context.Context
 	place    string
-	// events is set by the first call of NextEvent.
-	events *eventReader
+	// events is set by the first call of NextEvent, hasEvents once it has returned
+	// an event.
+	events    *eventReader
+	hasEvents bool
 	// writeResult receives the result of a background write; nil if the request
 	// was written directly.
 	writeResult chan error
@@ -251,12 +253,17 @@
 	return wigeonladder.Errorf(wigeonladder.CodeCrossed, p.place, "the answer belongs to call %q", p.ID)
 }
 
+// isUnframed reports whether the body ends with the connection.
+func (p *Response) isUnframed() bool {
+	return p.exchange.header.ContentLength() < -1 && !p.exchange.noBody
+}
+
 // ReadBody reads the whole body. A body that ends too early or exceeds the size
 // limit is an error.
 func (p *Response) ReadBody() ([]byte, *wigeonladder.Error) {
 	var b []byte
 	var err error
-	if p.exchange.header.ContentLength() < -1 && !p.exchange.noBody {
+	if p.isUnframed() {
 		b, err = p.exchange.readToEnd(maxRelayAnswerBytes)
 	} else {
 		b, err = p.exchange.readBody(maxRelayAnswerBytes)
@@ -269,14 +276,18 @@
 }
 
 // NextEvent returns the next event of a stream with its framing. The event is
-// valid until the next call. At the end of the stream it returns nil; an end
-// inside an event is an error.
+// valid until the next call. At the end of the stream it returns nil. An end
+// inside an event is an error, and so is the end of the connection before the
+// first event of a stream that states no length.
 func (p *Response) NextEvent() ([]byte, *wigeonladder.Error) {
 	if p.events == nil {
 		p.exchange.conn.allowRead(bodyBytes(maxRelayAnswerBytes))
 		p.events = newEventReader(p.exchange.body, maxRelayEventBytes)
 	}
 	e, err := p.events.next()
+	if errors.Is(err, io.EOF) && p.isUnframed() && !p.hasEvents {
+		err = io.ErrUnexpectedEOF
+	}
 	if errors.Is(err, io.EOF) {
 		p.fullyRead = true
 		return nil, nil
@@ -284,6 +295,7 @@
 	if err != nil {
 		return nil, asError(mayHaveRunError(p.ctx, p.place, err))
 	}
+	p.hasEvents = true
 	return e, nil
 }
 
--- a/conn/conn.go
+++ b/conn/conn.go
@@ -33,6 +33,7 @@
 	hasReadAhead bool
 	watchErr     error
 	linger       bool
+	reset        bool
 	skipResponse atomic.Bool
 	// unread is true for a new connection until it is read or unreadTime has
 	// passed.
@@ -259,13 +260,25 @@
 	c.linger = true
 }
 
+// Reset makes Close reset the connection, so that the peer does not take an answer
+// without a length for a complete one.
+func (c *Conn) Reset() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reset = true
+}
+
 // Close closes the connection. After Linger it returns at once and closes the
 // connection in the background.
 func (c *Conn) Close() error {
 	c.mu.Lock()
-	linger := c.linger
+	linger := c.linger && !c.reset
+	reset := c.reset
 	c.linger = false
 	c.mu.Unlock()
+	if w, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok && reset {
+		_ = w.SetLinger(0)
+	}
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok && linger && w.CloseWrite() == nil {
 		go c.drain()
 		return nil
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -36,7 +36,7 @@
 // mayRetry reports whether the call may be sent again after an error, and
 // spends the retry budget for it.
 func (r *callRun) mayRetry(ctx context.Context, err *wigeonladder.Error) bool {
-	if ctx.Err() != nil || r.sends == 0 {
+	if ctx.Err() != nil || r.sends == 0 || r.headSent && !r.resumable() {
 		return false
 	}
 	switch err.Code {
@@ -53,6 +53,12 @@
 	return false
 }
 
+// resumable reports whether a stream of which the caller has a part can go on at
+// another backend server.
+func (r *callRun) resumable() bool {
+	return r.match.Route.Resumable && r.lastEventID != "" && !r.positionLost
+}
+
 // resultOf returns what an error means for the backend server.
 func resultOf(ctx context.Context, err *wigeonladder.Error) place.Result {
 	switch {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -94,8 +94,12 @@
 	mayHaveRunCount, sends int
 	// headSent is true once the head of the answer was sent to the caller.
 	headSent bool
-	// lastEventID is the id of the last event that the caller got.
-	lastEventID string
+	// lastEventID is the id of the last event that the caller got. resumed is true
+	// while the rest of a stream that has begun comes from another server,
+	// positionLost once the caller got data without an id, after which the stream
+	// cannot be resumed.
+	lastEventID           string
+	resumed, positionLost bool
 	// firstByteAt is when the first byte of the answer arrived.
 	firstByteAt time.Time
 	// fallback is an error answer of a backend server that the caller gets if
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -68,6 +68,7 @@
 
 // relayStream sends the events of an answer to the caller.
 func (r *callRun) relayStream(ctx context.Context, l *place.Lease, p *backend.Response) *wigeonladder.Error {
+	r.resumed = r.headSent
 	for {
 		event, err := p.NextEvent()
 		if err != nil {
@@ -106,22 +107,12 @@
 	return nil
 }
 
-// relayEvent sends one event to the caller. It drops an event that the caller
-// already has, because a resumed stream may repeat events. After a gap in the
-// event numbers it returns an error, because the stream must not continue.
+// relayEvent sends one event to the caller, unless the caller already has it.
 func (r *callRun) relayEvent(ctx context.Context, l *place.Lease, p *backend.Response, event []byte) *wigeonladder.Error {
 	id := eventID(event)
-	if id != "" && r.lastEventID != "" {
-		last, errLast := strconv.ParseUint(r.lastEventID, 10, 64)
-		number, errNumber := strconv.ParseUint(id, 10, 64)
-		if errLast == nil && errNumber == nil {
-			if number <= last {
-				return nil
-			}
-			if number > last+1 {
-				return wigeonladder.Errorf(wigeonladder.CodeCrossed, l.Instance.ID, "event %d follows event %d", number, last)
-			}
-		}
+	isNew, err := r.checkPosition(l.Instance.ID, id, event)
+	if err != nil || !isNew {
+		return err
 	}
 	if !r.headSent {
 		if err := r.beginStream(p); err != nil {
@@ -133,10 +124,43 @@
 	}
 	if id != "" {
 		r.lastEventID = id
+	} else if hasData(event) {
+		r.positionLost = true
 	}
 	return nil
 }
 
+// checkPosition reports whether an event comes next in the caller's stream. A
+// resumed stream may repeat events, which the caller already has. After a gap in
+// the event numbers, and in a resumed stream after an event without a number, it
+// returns an error, because the stream must not continue.
+func (r *callRun) checkPosition(serverID, id string, event []byte) (isNew bool, err *wigeonladder.Error) {
+	last, errLast := strconv.ParseUint(r.lastEventID, 10, 64)
+	number, errNumber := strconv.ParseUint(id, 10, 64)
+	switch {
+	case errLast == nil && errNumber == nil:
+		if number > last+1 {
+			return false, wigeonladder.Errorf(wigeonladder.CodeCrossed, serverID, "event %d follows event %d", number, last)
+		}
+		return number > last, nil
+	case !r.resumed:
+		return true, nil
+	case id == "" && !hasData(event):
+		return false, nil
+	}
+	return false, wigeonladder.Errorf(wigeonladder.CodeCrossed, serverID, "event %q in place of the one after %q", id, r.lastEventID)
+}
+
+// hasData reports whether an event carries data, which a comment does not.
+func hasData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if bytes.HasPrefix(line, []byte("data")) {
+			return true
+		}
+	}
+	return false
+}
+
 // eventID returns the id of an event, or an empty string if it has none.
 func eventID(event []byte) string {
 	for line := range bytes.Lines(event) {
--- a/front/reply.go
+++ b/front/reply.go
@@ -87,10 +87,14 @@
 	return err
 }
 
-// Abort implements wigeonladder.Reply.
+// Abort implements wigeonladder.Reply. Without chunks, a connection that is closed in
+// the usual way would end the stream as if it were complete.
 func (r *reply) Abort() {
 	r.conn.SkipResponse()
 	r.ctx.SetConnectionClose()
+	if !r.chunked() {
+		r.conn.Reset()
+	}
 }
 
 // chunked reports whether the caller's version of HTTP has the chunked transfer
