place, forward: servers that say that they leave, or ask for a pause, get no calls

What is new on the wire: Server-Leaving: 1 in any answer, and Retry-After in a server's 503.

Change: one place, place/availability.go, decides whether a server takes calls: listed as leaving or says so, reported as leaving by another daemon, paused, unreachable, probing. What a server said outlives its entry in the store and ends with its incarnation. A pause begins at once and counts for a minute at most; a value that is no number above 0 is none. A report of another daemon counts for 10 s once, so that a false one does not lose a server. While no server takes calls in time, new and waiting calls are refused at once with the shortest time left. The dump and the lines placed and ended name the reasons.

The stand-ins leave and pause; the soak checks both rules by what callers and servers see.

--- a/backend/relay.go
+++ b/backend/relay.go
@@ -61,6 +61,9 @@
 	// BeforeSend is called immediately before the first byte is written. If it
 	// returns an error, nothing is sent.
 	BeforeSend func() error
+	// OnHead is called with every head that the server sends, also that of an
+	// answer to another call; nil for none.
+	OnHead func(AnswerHead)
 }
 
 // AnswerHead is the information in the status line and headers of an answer.
@@ -75,6 +78,10 @@
 	NotRun bool
 	// ContentEncoded is true if the body has a content encoding, such as gzip.
 	ContentEncoded bool
+	// Leaving is true if the server states that it leaves.
+	Leaving bool
+	// RetryAfter is the time for which the server asks for no calls; 0 for none.
+	RetryAfter time.Duration
 	// KeepAliveTimeout is how long the server says that it keeps an idle
 	// connection; 0 if it states no time.
 	KeepAliveTimeout time.Duration
@@ -234,6 +241,9 @@
 			return err
 		}
 		p.AnswerHead = p.relay.codec.ReadAnswerHead(&p.exchange.header)
+		if a.OnHead != nil {
+			a.OnHead(p.AnswerHead)
+		}
 		refusalWithoutID := p.ID == "" && p.NotRun
 		if p.ID != a.Call.ID {
 			p.unmatched = true
--- a/edge/change_test.go
+++ b/edge/change_test.go
@@ -183,3 +183,91 @@
 	callers.Wait()
 	is.New(t).Equal(failed.Load(), int64(0))
 }
+
+// arrivalsAt returns the number of calls that reached a server.
+func arrivalsAt(s *stub.Server) int { return len(s.Arrivals()) }
+
+// Guards against calls to a server that says in an answer that it leaves, against a
+// store entry that brings it back, and against other daemons that are not told.
+func TestServersSayThatTheyLeave(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/once/x", "/stream/x"} {
+		t.Run(path[1:5], func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t, withDaemons(2))
+			servers := r.apps
+			if path == "/stream/x" {
+				servers = r.engines
+			}
+			leaving := servers[0]
+			leaving.SetLeaving(true)
+			said := false
+			r.eventually("the server says that it leaves", func() bool {
+				reply := r.do(r.call(path))
+				is.Equal(reply.Status, 200)
+				said = stub.SaysLeaving(reply.Header)
+				return said
+			})
+			arrived := arrivalsAt(leaving)
+			is.Equal(arrived, 1)
+			r.eventually("the other daemon is told", func() bool {
+				for _, s := range r.daemons[1].Dump().Servers {
+					if s.Server == leaving.Instance().ID {
+						return s.Unavailable != ""
+					}
+				}
+				return false
+			})
+			r.store.PutServer(leaving.Instance())
+			for range 20 {
+				is.Equal(r.do(r.call(path)).Status, 200)
+				reply, err := r.caller.Do(t.Context(), r.callerAddresses[1], r.call(path))
+				is.NoErr(err)
+				is.Equal(reply.Status, 200)
+			}
+			is.Equal(arrivalsAt(leaving), arrived)
+			// A new incarnation takes calls once the other server leaves.
+			leaving.SetLeaving(false)
+			servers[1].SetLeaving(true)
+			i := leaving.Instance()
+			i.StartUnixMs++
+			r.store.PutServer(i)
+			r.eventually("the new incarnation gets calls", func() bool {
+				return r.do(r.call(path)).Status == 200 && arrivalsAt(leaving) > arrived
+			})
+		})
+	}
+}
+
+// Guards against calls to a server before the time is over for which it asked for
+// none, and against callers that wait while no server takes calls.
+func TestServersAskForAPause(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	const pause = 1500 * time.Millisecond
+	r.apps[0].Pause(pause)
+	began := time.Now()
+	for time.Since(began) < pause/2 {
+		is.Equal(r.do(r.call("/once/x")).Status, 200)
+	}
+	is.Equal(arrivalsAt(r.apps[0]), 1)
+	r.apps[1].Pause(pause)
+	var delay time.Duration
+	r.eventually("no server takes calls", func() bool {
+		c := r.call("/once/x")
+		sent := time.Now()
+		reply := r.do(c)
+		if reply.Status == 200 {
+			return false
+		}
+		r.wantNotRun(c, reply)
+		is.True(time.Since(sent) < c.Timeout/2)
+		delay = reply.RetryAfter
+		return true
+	})
+	is.True(delay <= pause-time.Since(began)+100*time.Millisecond)
+	for time.Since(began) < pause-100*time.Millisecond {
+		r.do(r.call("/once/x"))
+	}
+	is.Equal(arrivalsAt(r.apps[0]), 1)
+	r.eventually("the first server takes calls again", func() bool { return r.do(r.call("/once/x")).Status == 200 })
+}
--- a/exchange/mesh.go
+++ b/exchange/mesh.go
@@ -285,7 +285,7 @@
 
 // isEmpty reports whether a report has no content.
 func (r Report) isEmpty() bool {
-	return len(r.Place.Loads) == 0 && len(r.Place.Sent) == 0 && r.Charges == nil && len(r.Totals) == 0 && len(r.Suspicions) == 0
+	return r.Place.IsEmpty() && r.Charges == nil && len(r.Totals) == 0 && len(r.Suspicions) == 0
 }
 
 // scaledPeriod returns the time between two messages in a zone of the present
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -183,7 +183,7 @@
 	defer func() { lease.End(result) }()
 	r.note("placed", "server", lease.Instance.ID, "zone", lease.Instance.Zone, "version", r.match.Version,
 		"waited", time.Since(r.call.Received), "expected", lease.ExpectedFirstToken, "read", lease.UncachedTokens, "held", lease.CachedTokens,
-		"workspace", r.match.Workspace, "share", lease.Standing, "cost", r.call.Prompt.Cost())
+		"workspace", r.match.Workspace, "share", lease.Standing, "cost", r.call.Prompt.Cost(), "unavailable", lease.Unavailable)
 	lease.MarkSent()
 	r.sends++
 	resp, err := r.forwarder.options.Sender.Send(ctx, backend.CallAttempt{
@@ -191,6 +191,7 @@
 		TimeLeft: time.Until(r.deadline), LastEventID: r.lastEventID, AtMostOnce: !r.match.Route.Repeatable(),
 		MaxIdleConns: r.maxIdleConns(),
 		BeforeSend:   func() error { return r.checkBeforeSend(ctx, lease.Instance) },
+		OnHead:       func(h backend.AnswerHead) { r.recordNotice(lease.Instance, h) },
 	})
 	if err != nil {
 		result = resultOf(ctx, err)
@@ -206,6 +207,21 @@
 	return nil
 }
 
+// recordNotice records what the head of an answer says about further calls to the
+// server: that it leaves, or, in a refusal, that it wants none for a time.
+func (r *callRun) recordNotice(i wigeonladder.Instance, h backend.AnswerHead) {
+	pool := r.forwarder.options.Pool
+	if h.Leaving && pool.RecordLeaving(i) {
+		r.note("server_leaving", "server", i.ID, "status", h.Status)
+	}
+	if h.RetryAfter > 0 && isRefusalStatus(h.Status) && pool.RecordPause(i, h.RetryAfter) {
+		r.note("server_paused", "server", i.ID, "status", h.Status, "pause", min(h.RetryAfter, place.MaxPause))
+	}
+}
+
+// isRefusalStatus reports whether a server with this status may ask for a pause.
+func isRefusalStatus(status int) bool { return status == 429 || status == 503 }
+
 // maxIdleConns returns this daemon's part of the idle connections to one backend
 // server; 0 if the service sets no limit.
 func (r *callRun) maxIdleConns() int {
@@ -229,7 +245,7 @@
 		return wigeonladder.Errorf(wigeonladder.CodeWaitTooLong, i.ID, "the deadline passed before the call was sent").WithRetryDelay(unavailableRetryDelay)
 	}
 	if !r.forwarder.options.Pool.Allowed(i) {
-		return wigeonladder.Errorf(wigeonladder.CodeContractLate, i.ID, "the backend server is leaving")
+		return wigeonladder.Errorf(wigeonladder.CodeContractLate, i.ID, "the backend server takes no calls any more")
 	}
 	if err := r.forwarder.options.Suspects.CheckQuarantine(r.fingerprint, i.ID); err != nil {
 		return err
--- a/place/dump.go
+++ b/place/dump.go
@@ -30,6 +30,10 @@
 	// Blocked is true while the server gets no requests because it could not be
 	// reached.
 	Blocked bool `json:"blocked,omitempty"`
+	// Unavailable is the reason for which the server takes no calls; empty if it
+	// does. TimeLeft is the time until it is expected to take calls again.
+	Unavailable string        `json:"unavailable,omitempty"`
+	TimeLeft    time.Duration `json:"left,omitempty"`
 	// Waiting is the number of calls that wait in this daemon for the service.
 	Waiting int `json:"waiting"`
 }
@@ -47,7 +51,9 @@
 				Service: g.name, Server: s.instance.ID, Zone: s.instance.Zone, Leaving: s.instance.Leaving,
 				Running: s.own.running, Total: l.running, UnreadTokens: l.unreadTokens, LatencyRatio: s.latencyRatio,
 				FailureRate: s.currentFailureRate(now), Blocked: now.Before(s.blockedUntil), Waiting: g.waiting,
+				Unavailable: s.unavailability(now).String(),
 			}
+			r.TimeLeft, _ = s.timeLeft(now)
 			if s.cache != nil {
 				r.CachedTokens = s.cache.used
 			}
--- a/place/job.go
+++ b/place/job.go
@@ -23,8 +23,8 @@
 	ExcludedServers map[string]bool
 
 	chain promptChain
-	// granted receives the lease of a job that waited.
-	granted chan *Lease
+	// placed receives what became of a job that waited.
+	placed chan placement
 	// assigned is the server for which the job waits, queuedTokens the number
 	// of tokens that the job adds to the server's queue.
 	assigned     *server
@@ -33,6 +33,12 @@
 	lastReassigned time.Time
 }
 
+// placement is the lease of a job that waited, or the error with which it is refused.
+type placement struct {
+	lease *Lease
+	err   *wigeonladder.Error
+}
+
 // wouldBeLate reports whether the answer would miss the target latency if the
 // server needs the given time.
 func (j *Job) wouldBeLate(now time.Time, need time.Duration) bool {
@@ -53,11 +59,13 @@
 	Standing fair.Standing
 	// ExpectedFirstToken is the expected time to the first token.
 	ExpectedFirstToken time.Duration
-	server             *server
-	load               load
-	sentAt             time.Time
-	gotFirstToken      bool
-	ended              bool
+	// Unavailable names the servers of the service that take no calls, by reason.
+	Unavailable   string
+	server        *server
+	load          load
+	sentAt        time.Time
+	gotFirstToken bool
+	ended         bool
 	// countedSilent is true once the late first token was counted as a failure.
 	countedSilent bool
 }
--- a/place/pool.go
+++ b/place/pool.go
@@ -36,6 +36,9 @@
 	services map[string]*serviceState
 	// sentParts contains the prompt parts that were sent since the last report.
 	sentParts []SentPart
+	// leaving contains the servers that said since the last report that they leave.
+	leaving []LeavingServer
+	notices notices
 	// sweptAt is when sweep last ran, or the start; maxSweepDelay by how much one of its runs
 	// was late at most since the last call of Stats.
 	sweptAt       time.Time
@@ -61,6 +64,8 @@
 	// wastedCost is the cost of the leases that ended before the server had read
 	// the prompt.
 	wastedCost int64
+	// unavailable counts the servers that take no calls, as of the last sweep.
+	unavailable unavailableServers
 }
 
 // NewPool returns a pool without servers. It places waiting jobs until the
@@ -69,7 +74,7 @@
 	if o.LiveDaemons == nil {
 		o.LiveDaemons = func() int { return 1 }
 	}
-	p := &Pool{options: o, services: map[string]*serviceState{}, sweptAt: time.Now()}
+	p := &Pool{options: o, services: map[string]*serviceState{}, notices: notices{byIncarnation: map[incarnation]*notice{}}, sweptAt: time.Now()}
 	go func() {
 		t := time.NewTicker(sweepPeriod)
 		defer t.Stop()
@@ -122,7 +127,9 @@
 	if s := g.servers[i.ID]; s != nil && s.instance.SameStart(i) {
 		s.instance = i
 	} else {
-		g.servers[i.ID] = newServer(i, g.engine)
+		s := newServer(i, g.engine)
+		s.notice = p.notices.byIncarnation[incarnationOf(i)]
+		g.servers[i.ID] = s
 	}
 	g.sort()
 	p.drain(g)
@@ -168,7 +175,7 @@
 		return false
 	}
 	s := g.servers[i.ID]
-	return s != nil && s.instance.SameStart(i) && !s.instance.Leaving
+	return s != nil && s.instance.SameStart(i) && s.forbidden(time.Now()) == Available
 }
 
 // Acquire waits until a call may be sent and returns its lease. An error means
@@ -198,7 +205,7 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	j.granted = make(chan *Lease, 1)
+	j.placed = make(chan placement, 1)
 	p.enqueue(g, j, best)
 	until := p.waitUntil(g, j)
 	p.mu.Unlock()
@@ -232,8 +239,8 @@
 	defer t.Stop()
 	var gone bool
 	select {
-	case l := <-j.granted:
-		return l, nil
+	case x := <-j.placed:
+		return x.lease, x.err
 	case <-t.C:
 	case <-ctx.Done():
 		gone = true
@@ -241,11 +248,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	select {
-	case l := <-j.granted:
-		if !gone {
-			return l, nil
+	case x := <-j.placed:
+		if !gone || x.err != nil {
+			return x.lease, x.err
 		}
-		p.end(l, Inconclusive)
+		p.end(x.lease, Inconclusive)
 	default:
 		p.dequeue(g, j)
 	}
--- a/place/queue.go
+++ b/place/queue.go
@@ -124,7 +124,7 @@
 	if chosen.wouldBeLate(now, best.firstToken) {
 		p.recordThrottled(g, chosen)
 	}
-	chosen.granted <- p.grantLease(g, chosen, best, now)
+	chosen.placed <- placement{lease: p.grantLease(g, chosen, best, now)}
 	return true
 }
 
@@ -136,7 +136,7 @@
 	var lateCandidate *candidate
 	for _, j := range q[:min(len(q), maxScannedJobs)] {
 		p.reassign(g, j, now)
-		if !j.assigned.available(now) || !p.hasRoom(g, j.assigned, j.assigned.expectedWait(), j, standing) {
+		if !g.has(j.assigned) || !j.assigned.available(now) || !p.hasRoom(g, j.assigned, j.assigned.expectedWait(), j, standing) {
 			continue
 		}
 		r := p.evaluate(j.assigned, j, preferredSet{}, now)
@@ -151,11 +151,14 @@
 	return lateJob, lateCandidate
 }
 
+// has reports whether a server still belongs to the service.
+func (g *serviceState) has(s *server) bool { return g.servers[s.instance.ID] == s }
+
 // reassign assigns a waiting job to the server that is best now, if the job has
 // waited for half of its target latency or its server takes no calls. It does
 // so at most once in reassignPeriod.
 func (p *Pool) reassign(g *serviceState, j *Job, now time.Time) {
-	usable := j.assigned.available(now) && g.servers[j.assigned.instance.ID] == j.assigned
+	usable := j.assigned.available(now) && g.has(j.assigned)
 	if usable && now.Sub(j.ArrivedAt) < j.TargetLatency/2 || now.Sub(j.lastReassigned) < reassignPeriod {
 		return
 	}
@@ -202,7 +205,7 @@
 // or nil if it may wait.
 func (p *Pool) refusal(g *serviceState, j *Job, best *candidate, now time.Time) *wigeonladder.Error {
 	if best == nil {
-		return wigeonladder.Errorf(wigeonladder.CodeNoServer, g.name, "none of %d backend servers takes calls", len(g.servers)).WithRetryDelay(retryDelayMin)
+		return p.noServerError(g, now)
 	}
 	// The prompts that wait here for the best server are read before this job.
 	// After that there is room once the server's expected wait falls below the
@@ -260,8 +263,10 @@
 	p.recordSweep(now)
 	late := p.isLate(now)
 	for _, g := range p.services {
+		g.unavailable = unavailableServers{}
 		for _, s := range g.order {
 			s.expire(now)
+			g.unavailable[s.unavailability(now)]++
 			for l := range s.leases {
 				if !late && !l.gotFirstToken && !l.countedSilent && now.Sub(l.sentAt) > l.ExpectedFirstToken+min(max(l.job.TargetLatency, firstByteGraceMin), firstByteGraceMax) {
 					l.countedSilent = true
@@ -270,5 +275,6 @@
 			}
 		}
 		p.drain(g)
+		p.refuseUnplaceable(g, now)
 	}
 }
--- a/place/report.go
+++ b/place/report.go
@@ -20,19 +20,34 @@
 	MemoryTokens int    `json:"m,omitempty"`
 }
 
+// LeavingServer is an incarnation of a server that said that it leaves.
+type LeavingServer struct {
+	Server      string `json:"s"`
+	StartUnixMs int64  `json:"b,omitempty"`
+	Address     string `json:"a"`
+}
+
 // Report contains the placements of a daemon for the other daemons.
 type Report struct {
 	Loads []ServerLoad `json:"l,omitempty"`
 	Sent  []SentPart   `json:"p,omitempty"`
+	// Leaving contains the servers that said since the last report that they leave.
+	Leaving []LeavingServer `json:"g,omitempty"`
+}
+
+// IsEmpty reports whether the report tells nothing.
+func (r Report) IsEmpty() bool {
+	return len(r.Loads) == 0 && len(r.Sent) == 0 && len(r.Leaving) == 0
 }
 
 // WithNext merges this report with a later one of the same daemon.
 func (r Report) WithNext(next Report) Report {
 	sent := slices.Concat(r.Sent, next.Sent)
-	return Report{Loads: next.Loads, Sent: sent[max(len(sent)-maxSent, 0):]}
+	leaving := slices.Concat(r.Leaving, next.Leaving)
+	return Report{Loads: next.Loads, Sent: sent[max(len(sent)-maxSent, 0):], Leaving: leaving[max(len(leaving)-maxSent, 0):]}
 }
 
-// maxSent bounds the number of sent parts in one report.
+// maxSent bounds the number of sent parts and that of leaving servers in one report.
 const maxSent = 1000
 
 // recordSentParts adds the shared parts of a job to the next report.
@@ -44,13 +59,13 @@
 	}
 }
 
-// Export returns the loads that this daemon puts on servers, and the parts that
-// it has sent since the last export.
+// Export returns the loads that this daemon puts on servers, the parts that it has
+// sent since the last export, and the servers that said since then that they leave.
 func (p *Pool) Export() Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := Report{Sent: p.sentParts}
-	p.sentParts = nil
+	r := Report{Sent: p.sentParts, Leaving: p.leaving}
+	p.sentParts, p.leaving = nil, nil
 	for _, g := range p.services {
 		for id, s := range g.servers {
 			if s.own.running > 0 {
@@ -71,6 +86,9 @@
 	for _, l := range r.Loads {
 		loads[l.Server] = l
 	}
+	for _, l := range r.Leaving {
+		p.recordReportedLeaving(l, now)
+	}
 	for _, g := range p.services {
 		for id, s := range g.servers {
 			l := loads[id]
--- a/place/server.go
+++ b/place/server.go
@@ -75,6 +75,8 @@
 	blockedUntil time.Time
 	blockTime    time.Duration
 	probing      bool
+	// notice is what was said about calls to this incarnation; nil for nothing.
+	notice *notice
 	// leases contains the calls of this daemon that run on the server.
 	leases map[*Lease]struct{}
 	// queuedTokens is the number of prompt tokens of the jobs that wait in this
@@ -212,14 +214,6 @@
 	s.blockTime, s.blockedUntil, s.probing = 0, time.Time{}, false
 }
 
-// available reports whether the server may get a request now.
-func (s *server) available(now time.Time) bool {
-	if s.instance.Leaving || now.Before(s.blockedUntil) {
-		return false
-	}
-	return !s.probing || s.own.running == 0
-}
-
 // updateLatencyRatio corrects the latency ratio by an observed time to the
 // first token.
 func (s *server) updateLatencyRatio(expected, observed time.Duration) {
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -102,5 +102,5 @@
 	defer cancel()
 	sent := time.Now()
 	reply, err := caller.Do(callCtx, p.settings.CallerAddress, c)
-	s.checker.recordCall(observedCall{call: c, workspace: workspace, prefix: prefix, sent: sent, ended: time.Now(), reply: reply, err: err, callerGone: callCtx.Err() != nil, daemonUndisturbed: p.isUndisturbed()})
+	s.checker.recordCall(observedCall{call: c, workspace: workspace, daemon: p.settings.Name, prefix: prefix, sent: sent, ended: time.Now(), reply: reply, err: err, callerGone: callCtx.Err() != nil, daemonUndisturbed: p.isUndisturbed()})
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -16,6 +16,9 @@
 	calls []observedCall
 	// revokedKeys holds the time spans in which the key of a workspace was revoked.
 	revokedKeys map[int][]timeSpan
+	// disturbances holds the starts of the faults after which a daemon may have
+	// forgotten, or read late, what a backend server told it.
+	disturbances map[string][]time.Time
 	// leavingServers holds the time spans in which a backend server was listed as
 	// leaving.
 	leavingServers map[string][]timeSpan
@@ -42,6 +45,7 @@
 type observedCall struct {
 	call              stub.Call
 	workspace         int
+	daemon            string
 	prefix            string
 	sent              time.Time
 	ended             time.Time
@@ -52,7 +56,7 @@
 }
 
 func newChecker() *checker {
-	return &checker{revokedKeys: map[int][]timeSpan{}, leavingServers: map[string][]timeSpan{}}
+	return &checker{revokedKeys: map[int][]timeSpan{}, disturbances: map[string][]time.Time{}, leavingServers: map[string][]timeSpan{}}
 }
 
 // recordCall adds a call that has ended.
@@ -155,6 +159,7 @@
 		}
 		c.checkCall(s, runs[s.call.ID])
 	}
+	c.checkNotices(servers)
 	for id, l := range runs {
 		if !known[id] {
 			c.addViolationLocked("server %s ran call %s, which no caller made", l[0].Instance, id)
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/wigeonladder/wigeonladder"
 	"github.com/wigeonladder/wigeonladder/platform/stub"
 	"github.com/wigeonladder/wigeonladder/route"
 )
@@ -26,7 +27,7 @@
 		s.checker.countFault()
 		duration := time.Duration(s.random.Int64N(int64(maxFaultDuration)))
 		choices := []func(context.Context, time.Duration){
-			s.disturbServerProxy, s.disturbServerProxy, s.setServerFault, s.setServerFault, s.markServerLeaving,
+			s.disturbServerProxy, s.disturbServerProxy, s.setServerFault, s.setServerFault, s.markServerLeaving, s.leaveByAnswers, s.pauseServer,
 			s.disturbStoreProxy, s.setStoreMode, s.pauseDaemon, s.killDaemon, s.stopDaemon, s.reloadDaemon,
 			s.changeConfig, s.toggleKey, s.compactStore,
 		}
@@ -48,6 +49,7 @@
 // chosen mode is PassThrough, it resets them once instead.
 func (s *soak) disturbServerProxy(ctx context.Context, d time.Duration) {
 	b, mode := s.randomServer(), ProxyMode(s.random.IntN(int(proxyModes)))
+	s.checker.daemonDisturbed(allDaemons)
 	if mode == PassThrough {
 		s.logFault("connections of %s are reset", b.storeEntry.ID)
 		b.proxy.resetConns()
@@ -62,7 +64,7 @@
 // The number n is random, from 1 to 4.
 func (s *soak) setServerFault(ctx context.Context, d time.Duration) {
 	b := s.randomServer()
-	f := stub.ResetAnswer + stub.Fault(s.random.IntN(int(stub.CloseDelimitedAnswer-stub.ResetAnswer)+1))
+	f := stub.ResetAnswer + stub.Fault(s.random.IntN(int(stub.RepeatedRefusal-stub.ResetAnswer)+1))
 	every := 1 + s.random.IntN(4)
 	s.logFault("%s has fault %d in one of %d calls for %v", b.storeEntry.ID, f, every, d)
 	b.SetFault(func(n int, _ *http.Request) stub.Fault {
@@ -79,16 +81,50 @@
 func (s *soak) markServerLeaving(ctx context.Context, d time.Duration) {
 	b := s.randomServer()
 	s.logFault("%s is listed as leaving for %v", b.storeEntry.ID, leavingServerGrace+d)
-	leaving := b.storeEntry
+	leaving := s.entry(b)
 	leaving.Leaving = true
 	s.store.PutServer(leaving)
 	s.checker.serverLeaves(b.storeEntry.ID, time.Now())
 	runAfter(ctx, leavingServerGrace+d, func() {
 		s.checker.serverReturns(b.storeEntry.ID)
-		s.store.PutServer(b.storeEntry)
+		s.store.PutServer(s.entry(b))
 	})
 }
 
+// entry returns the store entry of a server.
+func (s *soak) entry(b *backend) wigeonladder.Instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return b.storeEntry
+}
+
+// leaveByAnswers makes a random backend server say in its answers that it leaves,
+// while the store lists it as live. Then a new incarnation takes its place.
+func (s *soak) leaveByAnswers(ctx context.Context, d time.Duration) {
+	b := s.randomServer()
+	s.logFault("%s says that it leaves for %v", b.storeEntry.ID, leavingServerGrace+d)
+	b.SetLeaving(true)
+	runAfter(ctx, leavingServerGrace+d, func() { s.replaceServer(b) })
+}
+
+// replaceServer lists a new incarnation of a server under the same name and address.
+func (s *soak) replaceServer(b *backend) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.checker.serverReturns(b.storeEntry.ID)
+	b.SetLeaving(false)
+	b.storeEntry.StartUnixMs++
+	s.store.PutServer(b.storeEntry)
+}
+
+// pauseServer makes a random backend server refuse all calls for a time and ask for
+// none.
+func (s *soak) pauseServer(_ context.Context, d time.Duration) {
+	b := s.randomServer()
+	s.logFault("%s refuses calls for %v", b.storeEntry.ID, d)
+	b.Pause(d)
+}
+
 // disturbStoreProxy disturbs the connections to the store.
 func (s *soak) disturbStoreProxy(ctx context.Context, d time.Duration) {
 	mode := Delayed + ProxyMode(s.random.IntN(int(proxyModes)-1))
@@ -121,14 +157,19 @@
 func (s *soak) pauseDaemon(ctx context.Context, d time.Duration) {
 	p := s.randomDaemon()
 	s.logFault("%s is paused for %v", p.settings.Name, d)
+	s.checker.daemonDisturbed(p.settings.Name)
 	p.signal(syscall.SIGSTOP)
-	runAfter(ctx, d, func() { p.signal(syscall.SIGCONT) })
+	runAfter(ctx, d, func() {
+		s.checker.daemonDisturbed(p.settings.Name)
+		p.signal(syscall.SIGCONT)
+	})
 }
 
 // killDaemon kills a random daemon and starts it again.
 func (s *soak) killDaemon(ctx context.Context, _ time.Duration) {
 	p := s.randomDaemon()
 	s.logFault("%s is killed", p.settings.Name)
+	s.checker.daemonDisturbed(p.settings.Name)
 	p.stop(syscall.SIGKILL)
 	s.restart(ctx, p)
 }
@@ -139,6 +180,7 @@
 func (s *soak) stopDaemon(ctx context.Context, _ time.Duration) {
 	p := s.randomDaemon()
 	s.logFault("%s is stopped", p.settings.Name)
+	s.checker.daemonDisturbed(p.settings.Name)
 	p.signal(syscall.SIGCONT)
 	p.signal(syscall.SIGTERM)
 	sleep(ctx, time.Duration(s.random.Int64N(int64(meanFaultInterval))))
@@ -211,8 +253,8 @@
 	for _, b := range s.servers {
 		b.proxy.setMode(PassThrough)
 		b.SetFault(nil)
-		s.checker.serverReturns(b.storeEntry.ID)
-		s.store.PutServer(b.storeEntry)
+		b.Pause(0)
+		s.replaceServer(b)
 	}
 	for _, p := range s.daemons {
 		p.signal(syscall.SIGCONT)
