--- a/exchange/pack.go
+++ b/exchange/pack.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"encoding/json"
 	"io"
+	"sync"
 
 	"github.com/pkg/errors"
 )
@@ -54,9 +55,15 @@
 	if err := json.Unmarshal(params, &p); err != nil {
 		return nil, errors.Wrap(err, "unpack reports")
 	}
-	f := flate.NewReader(bytes.NewReader(p.Data))
-	defer func() { _ = f.Close() }()
+	f, _ := decompressors.Get().(io.ReadCloser)
+	defer decompressors.Put(f)
+	if r, ok := f.(flate.Resetter); !ok || r.Reset(bytes.NewReader(p.Data), nil) != nil {
+		return nil, errors.New("unpack reports: no decompressor")
+	}
 	var l []Report
 	err := json.NewDecoder(io.LimitReader(f, maxUnpacked)).Decode(&l)
 	return l, errors.Wrap(err, "unpack reports")
 }
+
+// decompressors pools decompressors, each of which has buffers of 40 KB.
+var decompressors = sync.Pool{New: func() any { return flate.NewReader(nil) }}
--- a/place/availability.go
+++ b/place/availability.go
@@ -237,6 +237,18 @@
 	return u
 }
 
+// unavailableCountPeriod is how long a count of the unavailable servers is used.
+const unavailableCountPeriod = 100 * time.Millisecond
+
+// recentUnavailable returns a recent count of the servers that take no calls, so that
+// not every call walks all servers.
+func (g *serviceState) recentUnavailable(now time.Time) unavailableServers {
+	if now.Sub(g.countedAt) >= unavailableCountPeriod {
+		g.unavailable, g.countedAt = g.countUnavailable(now), now
+	}
+	return g.unavailable
+}
+
 // noServerError returns the refusal of a job for which no server takes calls. Its
 // retry delay is the shortest time after which one does.
 func (p *Pool) noServerError(g *serviceState, now time.Time) *wigeonladder.Error {
--- a/place/bench_test.go
+++ b/place/bench_test.go
@@ -43,3 +43,37 @@
 		})
 	}
 }
+
+// remoteReport returns the report of a daemon with calls on twenty of the servers of a
+// rig.
+func remoteReport(daemon, servers int) Report {
+	var r Report
+	for i := range 20 {
+		r.Loads = append(r.Loads, ServerLoad{Server: fmt.Sprintf("m%d", (daemon*7+i*11)%servers), Running: 2, UnreadTokens: 3000, MemoryTokens: 9000})
+	}
+	return r
+}
+
+// BenchmarkReports measures a report of one of many daemons, and a sweep while all
+// their reports are valid. Neither may grow with the daemons times the servers.
+func BenchmarkReports(b *testing.B) {
+	for _, size := range []struct{ daemons, servers int }{{4, 12}, {30, 63}, {117, 251}, {390, 6200}} {
+		r := newRig(b.Context(), "zone-a", size.servers)
+		names := make([]string, size.daemons)
+		reports := make([]Report, size.daemons)
+		for i := range names {
+			names[i], reports[i] = fmt.Sprintf("edge-%d", i), remoteReport(i, size.servers)
+			r.Import(names[i], reports[i], time.Hour)
+		}
+		b.Run(fmt.Sprintf("import/%d daemons", size.daemons), func(b *testing.B) {
+			for i := 0; b.Loop(); i++ {
+				r.Import(names[i%len(names)], reports[i%len(names)], time.Hour)
+			}
+		})
+		b.Run(fmt.Sprintf("sweep/%d daemons", size.daemons), func(b *testing.B) {
+			for b.Loop() {
+				r.sweep()
+			}
+		})
+	}
+}
--- a/place/choose.go
+++ b/place/choose.go
@@ -134,10 +134,10 @@
 		pool: p, job: j, server: s, Instance: s.instance,
 		UncachedTokens: o.uncachedTokens, CachedTokens: j.Prompt.Tokens - o.uncachedTokens, ExpectedFirstToken: o.firstToken, Standing: p.standing(g, j),
 		load:   load{1, o.uncachedTokens, j.Prompt.Tokens + j.Prompt.MaxOutputTokens},
-		sentAt: now, Unavailable: g.unavailable.String(),
+		sentAt: now, Unavailable: g.recentUnavailable(now).String(),
 	}
 	s.own = s.own.add(l.load)
-	s.leases[l] = struct{}{}
+	p.unread[l] = struct{}{}
 	if s.cache != nil {
 		s.cache.touchAll(j.chain)
 		p.recordSentParts(s, j)
--- a/place/pool.go
+++ b/place/pool.go
@@ -39,6 +39,9 @@
 	// leaving contains the servers that said since the last report that they leave.
 	leaving []LeavingServer
 	notices notices
+	remote  remoteDaemons
+	// unread contains the leases whose first token has not arrived.
+	unread map[*Lease]struct{}
 	// sweptAt is when sweep last ran, or the start; maxSweepDelay by how much one of its runs
 	// was late at most since the last call of Stats.
 	sweptAt       time.Time
@@ -64,8 +67,9 @@
 	// wastedCost is the cost of the leases that ended before the server had read
 	// the prompt.
 	wastedCost int64
-	// unavailable counts the servers that take no calls, as of the last sweep.
+	// unavailable counts the servers that take no calls, as of countedAt.
 	unavailable unavailableServers
+	countedAt   time.Time
 }
 
 // NewPool returns a pool without servers. It places waiting jobs until the
@@ -74,7 +78,10 @@
 	if o.LiveDaemons == nil {
 		o.LiveDaemons = func() int { return 1 }
 	}
-	p := &Pool{options: o, services: map[string]*serviceState{}, notices: notices{byIncarnation: map[incarnation]*notice{}}, sweptAt: time.Now()}
+	p := &Pool{
+		options: o, services: map[string]*serviceState{}, notices: notices{byIncarnation: map[incarnation]*notice{}},
+		remote: remoteDaemons{}, unread: map[*Lease]struct{}{}, sweptAt: time.Now(),
+	}
 	go func() {
 		t := time.NewTicker(sweepPeriod)
 		defer t.Stop()
@@ -282,6 +289,7 @@
 		return
 	}
 	l.gotFirstToken = true
+	delete(p.unread, l)
 	s := l.server
 	s.own.unreadTokens -= l.load.unreadTokens
 	l.load.unreadTokens = 0
@@ -310,7 +318,7 @@
 	if !l.gotFirstToken {
 		p.serviceState(l.job.Service).wastedCost += l.job.Prompt.Cost()
 	}
-	delete(s.leases, l)
+	delete(p.unread, l)
 	s.own = load{s.own.running - 1, s.own.unreadTokens - l.load.unreadTokens, s.own.memoryTokens - l.load.memoryTokens}
 	now := time.Now()
 	switch r {
--- a/place/queue.go
+++ b/place/queue.go
@@ -241,12 +241,7 @@
 	if p.countsTowardShare(g, j) {
 		share = p.options.Window.RetryDelay(j.Workspace)
 	}
-	servers := 0
-	for _, s := range g.servers {
-		if s.available(time.Now()) {
-			servers++
-		}
-	}
+	servers := g.recentUnavailable(time.Now())[Available]
 	if servers == 0 {
 		return retryDelayMax
 	}
@@ -261,20 +256,25 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.recordSweep(now)
-	late := p.isLate(now)
+	p.remote.expire(now)
+	if !p.isLate(now) {
+		p.recordSilence(now)
+	}
 	for _, g := range p.services {
-		g.unavailable = unavailableServers{}
-		for _, s := range g.order {
-			s.expire(now)
-			g.unavailable[s.unavailability(now)]++
-			for l := range s.leases {
-				if !late && !l.gotFirstToken && !l.countedSilent && now.Sub(l.sentAt) > l.ExpectedFirstToken+min(max(l.job.TargetLatency, firstByteGraceMin), firstByteGraceMax) {
-					l.countedSilent = true
-					s.recordOutcome(true, now)
-				}
-			}
-		}
 		p.drain(g)
-		p.refuseUnplaceable(g, now)
+		if g.waiting > 0 {
+			p.refuseUnplaceable(g, now)
+		}
+	}
+}
+
+// recordSilence records a failure for each server whose first byte is overdue.
+func (p *Pool) recordSilence(now time.Time) {
+	for l := range p.unread {
+		grace := min(max(l.job.TargetLatency, firstByteGraceMin), firstByteGraceMax)
+		if !l.countedSilent && now.Sub(l.sentAt) > l.ExpectedFirstToken+grace {
+			l.countedSilent = true
+			l.server.recordOutcome(true, now)
+		}
 	}
 }
--- a/place/report.go
+++ b/place/report.go
@@ -82,17 +82,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	loads := make(map[string]ServerLoad, len(r.Loads))
-	for _, l := range r.Loads {
-		loads[l.Server] = l
-	}
 	for _, l := range r.Leaving {
 		p.recordReportedLeaving(l, now)
 	}
+	loads := make([]serverLoad, 0, len(r.Loads))
 	for _, g := range p.services {
-		for id, s := range g.servers {
-			l := loads[id]
-			s.setRemote(from, load{max(l.Running, 0), max(l.UnreadTokens, 0), max(l.MemoryTokens, 0)}, now.Add(validity))
+		for _, l := range r.Loads {
+			if s := g.servers[l.Server]; s != nil {
+				loads = append(loads, serverLoad{s, load{max(l.Running, 0), max(l.UnreadTokens, 0), max(l.MemoryTokens, 0)}})
+			}
 		}
 		for _, x := range r.Sent {
 			if s := g.servers[x.Server]; s != nil && s.cache != nil {
@@ -100,4 +98,5 @@
 			}
 		}
 	}
+	p.remote.replace(from, loads, now.Add(validity))
 }
--- a/place/server.go
+++ b/place/server.go
@@ -55,10 +55,8 @@
 	instance wigeonladder.Instance
 	engine   *route.Engine
 	own      load
-	// remoteLoads contains the loads of other daemons by name, remoteSum their
-	// sum.
-	remoteLoads map[string]remoteLoad
-	remoteSum   load
+	// remoteSum is the sum of the loads of other daemons.
+	remoteSum load
 	// hash is the hash of the server's name.
 	hash  uint64
 	cache *prefixCache
@@ -77,8 +75,6 @@
 	probing      bool
 	// notice is what was said about calls to this incarnation; nil for nothing.
 	notice *notice
-	// leases contains the calls of this daemon that run on the server.
-	leases map[*Lease]struct{}
 	// queuedTokens is the number of prompt tokens of the jobs that wait in this
 	// daemon for the server.
 	queuedTokens int
@@ -106,17 +102,10 @@
 	return load{l.running - o.running, l.unreadTokens - o.unreadTokens, l.memoryTokens - o.memoryTokens}
 }
 
-// remoteLoad is the load that another daemon reported, and the time until which
-// the report is valid.
-type remoteLoad struct {
-	load
-	until time.Time
-}
-
 // newServer returns a server without load.
 func newServer(i wigeonladder.Instance, e *route.Engine) *server {
 	s := &server{
-		instance: i, remoteLoads: map[string]remoteLoad{}, latencyRatio: 1, leases: map[*Lease]struct{}{},
+		instance: i, latencyRatio: 1,
 		hash: xxhash.Sum64String(i.ID),
 	}
 	s.setEngine(e)
@@ -134,25 +123,6 @@
 // total returns the load of all daemons.
 func (s *server) total() load { return s.own.add(s.remoteSum) }
 
-// setRemote replaces the load that another daemon reported.
-func (s *server) setRemote(from string, l load, until time.Time) {
-	s.remoteSum = s.remoteSum.sub(s.remoteLoads[from].load).add(l)
-	if l == (load{}) {
-		delete(s.remoteLoads, from)
-		return
-	}
-	s.remoteLoads[from] = remoteLoad{l, until}
-}
-
-// expire removes the loads of daemons whose reports are no longer valid.
-func (s *server) expire(now time.Time) {
-	for from, r := range s.remoteLoads {
-		if now.After(r.until) {
-			s.setRemote(from, load{}, now)
-		}
-	}
-}
-
 // slots returns the number of requests that the server runs concurrently.
 func (s *server) slots() int {
 	n := s.instance.Slots
