exchange: in a large zone reports go over one daemon

Change: in a zone with more than 12 other daemons reports go to a hub, the first by name of those that are connected and heard, which joins them and sends them to the zone every 5 ms for each daemon. A daemon that does not reach the hub sends to the next one, which passes its reports on and gives it those of others. A hub that is gone is replaced at once, one that is silent after 1.5 s. Zones with an earlier version of the daemon keep the mesh.

--- a/exchange/merge.go
+++ b/exchange/merge.go
@@ -12,7 +12,7 @@
 // same daemon. Totals and charges are cumulative, so that the later row of a
 // workspace replaces the earlier one.
 func (r Report) WithNext(next Report) Report {
-	r.From, r.Incarnation, r.Sequence, r.MaxIntervalMs = next.From, next.Incarnation, next.Sequence, next.MaxIntervalMs
+	r.From, r.Zone, r.Incarnation, r.Sequence, r.MaxIntervalMs = next.From, next.Zone, next.Incarnation, next.Sequence, next.MaxIntervalMs
 	r.Place = r.Place.WithNext(next.Place)
 	r.Charges = mergeCharges(r.Charges, next.Charges)
 	r.Totals = latestRows(r.Totals, next.Totals, func(a, b fair.WorkspaceTotals) int { return cmp.Compare(a.Workspace, b.Workspace) })
--- a/exchange/mesh.go
+++ b/exchange/mesh.go
@@ -76,6 +76,17 @@
 	pendingRelay map[string]Report
 	// relayTurn counts relays, so that each goes to the next daemon of a zone.
 	relayTurn int
+	// hub is the daemon to which the reports of this one go, isHub is true if this
+	// daemon is the hub of its zone; without either, they go to all daemons of the
+	// zone.
+	hub   *peer
+	isHub bool
+	// pendingUp and pendingDown hold the reports that were not passed on to the hub
+	// and to the followers, by name of the daemon.
+	pendingUp, pendingDown map[string]Report
+	// followers holds until when the daemons count as followers that passed
+	// reports to this one.
+	followers map[string]time.Time
 	// packer is used only by the goroutine that sends reports.
 	packer *packer
 	// sentReports and sentBytes count the messages that were queued for peers.
@@ -84,7 +95,10 @@
 
 // New starts a mesh. It runs until the context ends.
 func New(ctx context.Context, o Options) *Mesh {
-	m := &Mesh{options: o, ctx: ctx, peers: map[string]*peer{}, origins: map[string]origin{}, pendingRelay: map[string]Report{}, packer: newPacker()}
+	m := &Mesh{
+		options: o, ctx: ctx, peers: map[string]*peer{}, origins: map[string]origin{}, pendingRelay: map[string]Report{},
+		pendingUp: map[string]Report{}, pendingDown: map[string]Report{}, followers: map[string]time.Time{}, packer: newPacker(o.Self.Name),
+	}
 	context.AfterFunc(ctx, func() { _ = o.Listener.Close() })
 	go m.acceptConnections()
 	go m.sendReports()
@@ -176,13 +190,16 @@
 		}
 		known := append(m.PeerAddresses(), m.options.Self.Address)
 		m.addPeer(v.Address)
-		return HelloReply{Self: m.options.Self, KnownAddresses: known}, nil
-	case methodReport, methodRelay, methodRelayed:
-		l, err := unpack(*q.Params)
+		return HelloReply{Self: m.options.Self, KnownAddresses: known, Passes: true}, nil
+	case methodReport, methodRelay, methodRelayed, methodPass:
+		from, l, err := unpack(*q.Params)
 		if err != nil {
 			m.options.Journal.Note("", "peer_report_unreadable", "error", err)
 			return nil, err
 		}
+		if q.Method == methodPass {
+			m.noteFollower(from)
+		}
 		m.receive(q.Method, l, *q.Params)
 		return nil, nil
 	}
@@ -190,21 +207,21 @@
 }
 
 // receive imports reports. It forwards those that were relayed from another
-// zone to the daemons of this zone.
+// zone to the daemons of this zone, unless the zone has a hub, to which they are
+// passed on later.
 func (m *Mesh) receive(method string, l []Report, params json.RawMessage) {
 	imported := false
 	for _, r := range l {
-		imported = m.importReport(r, method == methodReport) || imported
+		imported = m.importReport(r, method) || imported
 	}
-	if imported && method == methodRelay {
+	if imported && method == methodRelay && !m.hasHub() {
 		m.enqueue(m.peersByZone(true), message{methodRelayed, params})
 	}
 }
 
 // importReport imports a report unless it is this daemon's own or not newer
-// than the last one of its daemon. It reports whether it imported the report. A
-// direct report comes from a daemon of this zone.
-func (m *Mesh) importReport(r Report, direct bool) bool {
+// than the last one of its daemon. It reports whether it imported the report.
+func (m *Mesh) importReport(r Report, method string) bool {
 	if r.From == m.options.Self.Name {
 		return false
 	}
@@ -215,10 +232,12 @@
 		m.mu.Unlock()
 		return false
 	}
-	m.origins[r.From] = origin{incarnation: r.Incarnation, sequence: r.Sequence, validUntil: now.Add(r.Lifetime()), sameZone: direct}
-	if direct {
+	sameZone := m.isInZone(r, method == methodReport)
+	m.origins[r.From] = origin{incarnation: r.Incarnation, sequence: r.Sequence, validUntil: now.Add(r.Lifetime()), sameZone: sameZone}
+	if sameZone {
 		m.pendingRelay[r.From] = m.pendingRelay[r.From].WithNext(r)
 	}
+	m.holdForPassing(r, method == methodPass || method == methodRelay)
 	m.mu.Unlock()
 	if now.After(last.validUntil) {
 		m.options.Journal.Note("", "peer_heard", "peer", r.From, "incarnation", r.Incarnation)
@@ -231,7 +250,8 @@
 // connects to the daemons that it knows.
 func (m *Mesh) noteConnected(p *peer, reply HelloReply) {
 	m.mu.Lock()
-	p.zone, p.connected = reply.Self.Zone, true
+	p.zone, p.name, p.passes = reply.Self.Zone, reply.Self.Name, reply.Passes
+	p.connected, p.connectedAt = true, time.Now()
 	m.mu.Unlock()
 	for _, a := range reply.KnownAddresses {
 		m.addPeer(a)
@@ -250,11 +270,12 @@
 // other zones.
 func (m *Mesh) sendReports() {
 	var sent, charged, relayed time.Time
-	for sequence := int64(1); sleep(m.ctx, m.scaledPeriod(reportPeriod)); {
+	for sequence := int64(1); sleep(m.ctx, m.period()); {
 		for _, s := range m.options.Seeds() {
 			m.addPeer(s)
 		}
 		now := time.Now()
+		m.chooseHub(now)
 		charges := now.Sub(charged) >= chargesPeriod
 		if charges {
 			charged = now
@@ -264,20 +285,28 @@
 			m.broadcast(r, sequence)
 			sequence++
 		}
-		if now.Sub(relayed) >= m.scaledPeriod(relayPeriod) {
+		if m.hasHub() {
+			m.passReports()
+		}
+		if now.Sub(relayed) >= m.relayInterval() {
 			relayed = now
 			m.relay()
 		}
 	}
 }
 
-// broadcast sends a report to the daemons of the zone.
+// broadcast sends a report to the daemons of the zone, or holds it for the hub.
 func (m *Mesh) broadcast(r Report, sequence int64) {
-	r.From, r.Incarnation, r.Sequence = m.options.Self.Name, m.options.Self.Incarnation, sequence
-	r.MaxIntervalMs = max(m.scaledPeriod(reportPeriod), maxReportPeriod).Milliseconds()
+	self := m.options.Self
+	r.From, r.Zone, r.Incarnation, r.Sequence = self.Name, self.Zone, self.Incarnation, sequence
+	r.MaxIntervalMs = max(m.period(), maxReportPeriod).Milliseconds()
 	m.mu.Lock()
 	m.pendingRelay[r.From] = m.pendingRelay[r.From].WithNext(r)
+	m.holdForPassing(r, true)
 	m.mu.Unlock()
+	if m.hasHub() {
+		return
+	}
 	if peers := m.peersByZone(true); len(peers) > 0 {
 		m.packAndSend(methodReport, []Report{r}, peers)
 	}
--- a/exchange/mesh_test.go
+++ b/exchange/mesh_test.go
@@ -25,6 +25,8 @@
 	mu       sync.Mutex
 	nodes    map[string]*node
 	isolated map[string]bool
+	// cut holds the pairs of nodes that do not reach each other.
+	cut map[[2]string]bool
 }
 
 // node is one mesh and its listener.
@@ -78,7 +80,7 @@
 func (x *network) dial(ctx context.Context, from, to string) (net.Conn, error) {
 	x.mu.Lock()
 	n := x.nodes[to]
-	unreachable := x.isolated[from] || x.isolated[to]
+	unreachable := x.isolated[from] || x.isolated[to] || x.cut[[2]string{from, to}] || x.cut[[2]string{to, from}]
 	x.mu.Unlock()
 	if n == nil || unreachable {
 		return nil, errors.New("unreachable")
@@ -155,7 +157,7 @@
 			cancel()
 			time.Sleep(time.Minute)
 		}()
-		test(t, ctx, &network{nodes: map[string]*node{}, isolated: map[string]bool{}})
+		test(t, ctx, &network{nodes: map[string]*node{}, isolated: map[string]bool{}, cut: map[[2]string]bool{}})
 	})
 }
 
@@ -298,10 +300,10 @@
 	for i, want := range []bool{true, false, true, false, true} {
 		sequence := []int64{2, 1, 3, 3, 1}[i]
 		incarnation := []string{"a", "a", "a", "a", "b"}[i]
-		is.Equal(m.importReport(Report{From: "x", Incarnation: incarnation, Sequence: sequence}, false), want)
+		is.Equal(m.importReport(Report{From: "x", Incarnation: incarnation, Sequence: sequence}, methodRelayed), want)
 	}
 	is.Equal(imported, 3)
-	is.True(!m.importReport(Report{From: "self", Sequence: 9}, true))
+	is.True(!m.importReport(Report{From: "self", Sequence: 9}, methodReport))
 }
 
 // Guards against a merge of two reports that loses rows or keeps outdated ones.
@@ -336,21 +338,21 @@
 	for i := range 90 {
 		r.Place.Loads = append(r.Place.Loads, place.ServerLoad{Server: fmt.Sprintf("i-%010x", uint64(i)*2654435761), Running: i % 5, UnreadTokens: i * 91, MemoryTokens: i * 1003})
 	}
-	p := newPacker()
+	p := newPacker("a")
 	for range 2 {
 		data, err := p.pack([]Report{r})
 		is.NoErr(err)
 		plain, err := json.Marshal(r)
 		is.NoErr(err)
 		is.True(2*len(data) < len(plain))
-		got, err := unpack(data)
+		_, got, err := unpack(data)
 		is.NoErr(err)
 		is.Equal(got, []Report{r})
 	}
 	data, err := p.pack([]Report{{From: strings.Repeat("a", maxUnpacked)}})
 	is.NoErr(err)
-	_, err = unpack(data)
+	_, _, err = unpack(data)
 	is.True(err != nil)
-	_, err = unpack(json.RawMessage(`{"z":"AAAA"}`))
+	_, _, err = unpack(json.RawMessage(`{"z":"AAAA"}`))
 	is.True(err != nil)
 }
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -18,6 +18,8 @@
 	// which forwards them to the daemons of its zone with methodRelayed.
 	methodRelay   = "relay"
 	methodRelayed = "relayed"
+	// methodPass carries reports to a daemon of the zone that passes them on.
+	methodPass = "pass"
 )
 
 // Member identifies one daemon.
@@ -36,6 +38,8 @@
 	// KnownAddresses are the addresses of the daemons that it connects to, and
 	// its own.
 	KnownAddresses []string `json:"k"`
+	// Passes is true if the daemon passes the reports of others on.
+	Passes bool `json:"p,omitempty"`
 }
 
 // Lifetime returns how long a report is valid: until the next three reports
@@ -53,6 +57,8 @@
 // Report is what one daemon tells the others.
 type Report struct {
 	From string `json:"f"`
+	// Zone is the zone of the daemon.
+	Zone string `json:"z,omitempty"`
 	// Incarnation distinguishes reports from different starts of a daemon.
 	Incarnation string `json:"i"`
 	// Sequence numbers the reports of one incarnation in ascending order.
--- a/exchange/peer.go
+++ b/exchange/peer.go
@@ -26,11 +26,13 @@
 	mesh    *Mesh
 	address string
 	queue   chan message
-	// zone is the zone of the daemon; it is empty until the daemon answers a
-	// hello. connected is true while there is a connection. The mutex of the
-	// mesh guards both.
-	zone      string
-	connected bool
+	// zone and name are those of the daemon, empty until it answers a hello.
+	// passes is true if it passes reports on. connected is true while there is a
+	// connection, connectedAt when that began. The mutex of the mesh guards them.
+	zone, name  string
+	passes      bool
+	connected   bool
+	connectedAt time.Time
 }
 
 // run keeps a connection to the daemon until the context ends or there has been
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -31,7 +31,7 @@
 // While another daemon is the relay there are none to return. If no other zone
 // is reachable, the relay keeps its reports for later.
 func (m *Mesh) takePendingRelay(reachable bool) []Report {
-	relayIntervalMs := m.scaledPeriod(relayPeriod).Milliseconds()
+	relayIntervalMs := m.relayInterval().Milliseconds()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.isRelay() {
@@ -40,13 +40,11 @@
 	if !reachable {
 		return nil
 	}
-	var l []Report
-	for _, r := range m.pendingRelay {
-		r.MaxIntervalMs = max(r.MaxIntervalMs, relayIntervalMs)
-		l = append(l, r)
+	l := sortedReports(m.pendingRelay)
+	for i := range l {
+		l[i].MaxIntervalMs = max(l[i].MaxIntervalMs, relayIntervalMs)
 	}
 	clear(m.pendingRelay)
-	slices.SortFunc(l, func(a, b Report) int { return cmp.Compare(a.From, b.From) })
 	return l
 }
 
@@ -55,6 +53,9 @@
 // on these, two of them may relay; receivers drop the duplicates by their
 // sequence.
 func (m *Mesh) isRelay() bool {
+	if m.hub != nil || m.isHub {
+		return m.isHub
+	}
 	for name, o := range m.origins {
 		if o.sameZone && time.Now().Before(o.validUntil) && name < m.options.Self.Name {
 			return false
@@ -65,7 +66,8 @@
 
 // relayPeers returns one connected peer of each other zone. It takes the next
 // one each time, so that a peer whose failure is not detected yet misses only
-// some reports.
+// some reports. In a zone with a hub it takes only the hub and the daemon that
+// would replace it, so that few reports make the way over another daemon.
 func (m *Mesh) relayPeers() []*peer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -78,8 +80,12 @@
 	m.relayTurn++
 	var l []*peer
 	for _, z := range zones {
-		slices.SortFunc(z, func(a, b *peer) int { return cmp.Compare(a.address, b.address) })
-		l = append(l, z[m.relayTurn%len(z)])
+		slices.SortFunc(z, func(a, b *peer) int { return cmp.Compare(a.name, b.name) })
+		targets := len(z)
+		if targets > meshZonePeers {
+			targets = hubRelayTargets
+		}
+		l = append(l, z[m.relayTurn%targets])
 	}
 	return l
 }
