exchange: reports in columns

Change: a message names each server and workspace once; the rows of a report are lists of numbers of variable length, in CBOR.

Malformed columns are refused (TestMalformedColumns, FuzzUnpack), both forms keep every field (TestFormsKeepReports).

--- a/exchange/mesh.go
+++ b/exchange/mesh.go
@@ -87,8 +87,9 @@
 	// followers holds until when the daemons count as followers that passed
 	// reports to this one.
 	followers map[string]time.Time
-	// packer is used only by the goroutine that sends reports.
-	packer *packer
+	// packing guards packer.
+	packing sync.Mutex
+	packer  *packer
 	// sentReports and sentBytes count the messages that were queued for peers.
 	sentReports, sentBytes int64
 }
@@ -190,7 +191,7 @@
 		}
 		known := append(m.PeerAddresses(), m.options.Self.Address)
 		m.addPeer(v.Address)
-		return HelloReply{Self: m.options.Self, KnownAddresses: known, Passes: true}, nil
+		return HelloReply{Self: m.options.Self, KnownAddresses: known, Passes: true, Columns: true}, nil
 	case methodReport, methodRelay, methodRelayed, methodPass:
 		from, l, err := unpack(*q.Params)
 		if err != nil {
@@ -200,7 +201,7 @@
 		if q.Method == methodPass {
 			m.noteFollower(from)
 		}
-		m.receive(q.Method, l, *q.Params)
+		m.receive(q.Method, l)
 		return nil, nil
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: q.Method}
@@ -209,13 +210,13 @@
 // receive imports reports. It forwards those that were relayed from another
 // zone to the daemons of this zone, unless the zone has a hub, to which they are
 // passed on later.
-func (m *Mesh) receive(method string, l []Report, params json.RawMessage) {
+func (m *Mesh) receive(method string, l []Report) {
 	imported := false
 	for _, r := range l {
 		imported = m.importReport(r, method) || imported
 	}
 	if imported && method == methodRelay && !m.hasHub() {
-		m.enqueue(m.peersByZone(true), message{methodRelayed, params})
+		m.packAndSend(methodRelayed, l, m.peersByZone(true))
 	}
 }
 
@@ -250,7 +251,7 @@
 // connects to the daemons that it knows.
 func (m *Mesh) noteConnected(p *peer, reply HelloReply) {
 	m.mu.Lock()
-	p.zone, p.name, p.passes = reply.Self.Zone, reply.Self.Name, reply.Passes
+	p.zone, p.name, p.passes, p.columns = reply.Self.Zone, reply.Self.Name, reply.Passes, reply.Columns
 	p.connected, p.connectedAt = true, time.Now()
 	m.mu.Unlock()
 	for _, a := range reply.KnownAddresses {
@@ -336,14 +337,35 @@
 	return l
 }
 
-// packAndSend packs reports into one message and sends it to peers.
+// packAndSend packs reports into one message and sends it to peers, in columns to
+// those that read them.
 func (m *Mesh) packAndSend(method string, l []Report, to []*peer) {
-	data, err := m.packer.pack(l)
-	if err != nil {
-		m.options.Journal.Note("", "peer_report_failed", "error", err)
-		return
+	m.mu.Lock()
+	var readColumns, readRows []*peer
+	for _, p := range to {
+		if p.columns {
+			readColumns = append(readColumns, p)
+		} else {
+			readRows = append(readRows, p)
+		}
+	}
+	m.mu.Unlock()
+	m.packing.Lock()
+	defer m.packing.Unlock()
+	for _, x := range []struct {
+		to   []*peer
+		pack func([]Report) (json.RawMessage, error)
+	}{{readColumns, m.packer.packColumns}, {readRows, m.packer.pack}} {
+		if len(x.to) == 0 {
+			continue
+		}
+		data, err := x.pack(l)
+		if err != nil {
+			m.options.Journal.Note("", "peer_report_failed", "error", err)
+			return
+		}
+		m.enqueue(x.to, message{method, data})
 	}
-	m.enqueue(to, message{method, data})
 }
 
 // enqueue queues a message for peers. A peer whose queue is full misses it.
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -40,6 +40,8 @@
 	KnownAddresses []string `json:"k"`
 	// Passes is true if the daemon passes the reports of others on.
 	Passes bool `json:"p,omitempty"`
+	// Columns is true if the daemon reads reports in columns.
+	Columns bool `json:"c,omitempty"`
 }
 
 // Lifetime returns how long a report is valid: until the next three reports
--- a/exchange/pack.go
+++ b/exchange/pack.go
@@ -7,20 +7,22 @@
 	"io"
 	"sync"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 )
 
 // maxUnpacked bounds the size of unpacked reports in bytes. The row of one
-// backend server has about 45 bytes, so that the reports of 20 daemons about
-// 6,200 servers fit.
+// backend server has about 45 bytes in JSON, so that the reports of 20 daemons
+// about 6,200 servers fit.
 const maxUnpacked = 8 << 20
 
-// packed is the form of reports on the wire: compressed JSON. Names of servers
-// and workspaces recur in all rows, so that reports shrink to less than half.
+// packed is the form of reports on the wire: either compressed JSON, which all
+// versions of the daemon read, or compressed columns.
 type packed struct {
 	// From is the name of the daemon that sent the message.
-	From string `json:"f,omitempty"`
-	Data []byte `json:"z"`
+	From    string `json:"f,omitempty"`
+	Data    []byte `json:"z,omitempty"`
+	Columns []byte `json:"c,omitempty"`
 }
 
 // packer packs reports, one message at a time. It reuses the compressor and its
@@ -39,17 +41,37 @@
 	return p
 }
 
-// pack returns reports as the parameters of a notification.
+// pack returns reports as the parameters of a notification to daemons that may
+// not read columns.
 func (p *packer) pack(l []Report) (json.RawMessage, error) {
+	data, err := p.compress(func(w io.Writer) error { return json.NewEncoder(w).Encode(l) })
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(packed{From: p.from, Data: data})
+}
+
+// packColumns returns reports as the parameters of a notification to daemons that
+// read columns.
+func (p *packer) packColumns(l []Report) (json.RawMessage, error) {
+	data, err := p.compress(func(w io.Writer) error { return cbor.NewEncoder(w).Encode(newColumns(l)) })
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(packed{From: p.from, Columns: data})
+}
+
+// compress returns what encode writes, compressed. It is valid until the next call.
+func (p *packer) compress(encode func(io.Writer) error) ([]byte, error) {
 	p.buffer.Reset()
 	p.compressor.Reset(&p.buffer)
-	if err := json.NewEncoder(p.compressor).Encode(l); err != nil {
+	if err := encode(p.compressor); err != nil {
 		return nil, errors.Wrap(err, "pack reports")
 	}
 	if err := p.compressor.Close(); err != nil {
 		return nil, errors.Wrap(err, "pack reports")
 	}
-	return json.Marshal(packed{p.from, p.buffer.Bytes()})
+	return p.buffer.Bytes(), nil
 }
 
 // unpack returns the reports in the parameters of a notification and the name of the
@@ -59,13 +81,33 @@
 	if err := json.Unmarshal(params, &p); err != nil {
 		return "", nil, errors.Wrap(err, "unpack reports")
 	}
+	if len(p.Columns) > 0 {
+		var c columns
+		err := decompress(p.Columns, func(r io.Reader) error {
+			data, err := io.ReadAll(r)
+			if err != nil {
+				return err
+			}
+			return cbor.Unmarshal(data, &c)
+		})
+		if err != nil {
+			return "", nil, err
+		}
+		l, err := c.reports()
+		return p.From, l, err
+	}
+	err = decompress(p.Data, func(r io.Reader) error { return json.NewDecoder(r).Decode(&l) })
+	return p.From, l, err
+}
+
+// decompress decodes compressed data of at most maxUnpacked bytes.
+func decompress(data []byte, decode func(io.Reader) error) error {
 	f, _ := decompressors.Get().(io.ReadCloser)
 	defer decompressors.Put(f)
-	if r, ok := f.(flate.Resetter); !ok || r.Reset(bytes.NewReader(p.Data), nil) != nil {
-		return "", nil, errors.New("unpack reports: no decompressor")
+	if r, ok := f.(flate.Resetter); !ok || r.Reset(bytes.NewReader(data), nil) != nil {
+		return errors.New("unpack reports: no decompressor")
 	}
-	err = json.NewDecoder(io.LimitReader(f, maxUnpacked)).Decode(&l)
-	return p.From, l, errors.Wrap(err, "unpack reports")
+	return errors.Wrap(decode(io.LimitReader(f, maxUnpacked)), "unpack reports")
 }
 
 // decompressors pools decompressors, each of which has buffers of 40 KB.
--- a/exchange/peer.go
+++ b/exchange/peer.go
@@ -27,10 +27,12 @@
 	address string
 	queue   chan message
 	// zone and name are those of the daemon, empty until it answers a hello.
-	// passes is true if it passes reports on. connected is true while there is a
+	// passes is true if it passes reports on, columns if it reads reports in columns.
+	// connected is true while there is a
 	// connection, connectedAt when that began. The mutex of the mesh guards them.
 	zone, name  string
 	passes      bool
+	columns     bool
 	connected   bool
 	connectedAt time.Time
 }
