exchange: only a daemon that passes reports on joins them

Cause: each daemon joined every report that it got with the earlier ones, for a relay and for followers that only few daemons have.

Change: reports are held only while this daemon relays, is the hub, or has followers.

--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -89,11 +89,10 @@
 // holdForPassing keeps a report that the hub and the followers of this daemon have
 // not got. The caller must hold the lock.
 func (m *Mesh) holdForPassing(r Report, up bool) {
-	if m.hub == nil && !m.isHub {
-		return
+	if m.isHub || m.hub != nil && len(m.followers) > 0 {
+		m.pendingDown[r.From] = m.pendingDown[r.From].WithNext(r)
 	}
-	m.pendingDown[r.From] = m.pendingDown[r.From].WithNext(r)
-	if up {
+	if up && m.hub != nil {
 		m.pendingUp[r.From] = m.pendingUp[r.From].WithNext(r)
 	}
 }
--- a/exchange/mesh.go
+++ b/exchange/mesh.go
@@ -72,8 +72,11 @@
 	// origins holds the state of each daemon whose reports arrive, by name.
 	origins map[string]origin
 	// pendingRelay holds the reports of this zone that were not relayed yet, by
-	// name of the daemon.
+	// name of the daemon. It stays empty while another daemon is the relay.
 	pendingRelay map[string]Report
+	// relays is true if this daemon relayed for its zone, or was about to, when
+	// it was last due.
+	relays bool
 	// relayTurn counts relays, so that each goes to the next daemon of a zone.
 	relayTurn int
 	// hub is the daemon to which the reports of this one go, isHub is true if this
@@ -236,7 +239,7 @@
 	sameZone := m.isInZone(r, method == methodReport)
 	m.origins[r.From] = origin{incarnation: r.Incarnation, sequence: r.Sequence, validUntil: now.Add(r.Lifetime()), sameZone: sameZone}
 	if sameZone {
-		m.pendingRelay[r.From] = m.pendingRelay[r.From].WithNext(r)
+		m.holdForRelay(r)
 	}
 	m.holdForPassing(r, method == methodPass || method == methodRelay)
 	m.mu.Unlock()
@@ -302,7 +305,7 @@
 	r.From, r.Zone, r.Incarnation, r.Sequence = self.Name, self.Zone, self.Incarnation, sequence
 	r.MaxIntervalMs = max(m.period(), maxReportPeriod).Milliseconds()
 	m.mu.Lock()
-	m.pendingRelay[r.From] = m.pendingRelay[r.From].WithNext(r)
+	m.holdForRelay(r)
 	m.holdForPassing(r, true)
 	m.mu.Unlock()
 	if m.hasHub() {
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -34,7 +34,8 @@
 	relayIntervalMs := m.relayInterval().Milliseconds()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.isRelay() {
+	m.relays = m.isRelay()
+	if !m.relays {
 		clear(m.pendingRelay)
 	}
 	if !reachable {
@@ -48,6 +49,14 @@
 	return l
 }
 
+// holdForRelay keeps a report of this zone for the next relay if this daemon relays.
+// The caller must hold the lock.
+func (m *Mesh) holdForRelay(r Report) {
+	if m.relays {
+		m.pendingRelay[r.From] = m.pendingRelay[r.From].WithNext(r)
+	}
+}
+
 // isRelay reports whether this daemon relays for its zone, that is, whether its
 // name is the first among the live daemons of the zone. While daemons disagree
 // on these, two of them may relay; receivers drop the duplicates by their
