caller: a resend with a lost key or service may have run

Cause: a request with a ticket that was refused for its key or for a missing service was told "not run", although it may repeat a call that ran before the key or the service was removed.

Change: such refusals become 406, as that for a removed workspace.

Result: TestResendIsNeverReportedNotRun, extended, fails with 403 before.

--- a/caller/server.go
+++ b/caller/server.go
@@ -211,10 +211,10 @@
 
 // ticketError returns the error for a request that was refused before its
 // ticket, if any, was looked up. A request with a ticket may repeat one that has
-// run, and the daemon may have begun to stop, or the workspace may have been
-// removed, in between. The errors of these two cases mean "not run", which could
-// be false for the call, so they are replaced by errors that mean "may have
-// run". All other errors are returned unchanged.
+// run, and in between the daemon may have begun to stop, or the workspace, its key
+// or the service may have been removed. The errors of these cases mean "not run",
+// which could be false for the call, so they are replaced by errors that mean "may
+// have run". All other errors are returned unchanged.
 func ticketError(c *fasthttp.RequestCtx, err error) error {
 	e := asError(err)
 	if len(c.Request.Header.Peek(headerTicket)) == 0 {
@@ -225,6 +225,10 @@
 		return wigeonladder.Errorf(wigeonladder.CodeTicketAway, headerTicket, "the daemon is stopping").WithRetryAfter(e.RetryAfter)
 	case wigeonladder.CodeNoWorkspace:
 		return wigeonladder.Errorf(wigeonladder.CodeTicketUnknown, headerTicket, "the workspace was removed; the call may have run before")
+	case wigeonladder.CodeBadCredential:
+		return wigeonladder.Errorf(wigeonladder.CodeTicketUnknown, headerTicket, "the key belongs to no workspace; the call may have run before")
+	case wigeonladder.CodeNoService:
+		return wigeonladder.Errorf(wigeonladder.CodeTicketUnknown, headerTicket, "there is no such service; the call may have run before")
 	}
 	return err
 }
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -158,6 +158,22 @@
 	r.config.Store(&next)
 	wantCode(t, resend(), wigeonladder.CodeTicketUnknown)
 	wantCode(t, r.send("POST", "/s/desk/x", "key-alder", "x"), wigeonladder.CodeNoWorkspace)
+
+	rotated := next
+	rotated.Revision = 3
+	rotated.Register.Workspaces = append([]wigeonladder.Workspace{{Name: "alder", KeyHashes: []string{fake.KeyHash("new")}}}, next.Register.Workspaces...)
+	r.config.Store(&rotated)
+	wantCode(t, resend(), wigeonladder.CodeTicketUnknown)
+	wantCode(t, r.send("POST", "/s/desk/x", "key-alder", "x"), wigeonladder.CodeBadCredential)
+	withoutService := rotated
+	withoutService.Revision = 4
+	withoutService.Register.Services = nil
+	r.config.Store(&withoutService)
+	gone := func(header ...string) fake.Reply {
+		return r.send("POST", "/s/desk/deposit/7", "new", "x", header...)
+	}
+	wantCode(t, gone("X-Ticket", "alder desk POST /deposit/7"), wigeonladder.CodeTicketUnknown)
+	wantCode(t, gone(), wigeonladder.CodeNoService)
 }
 
 // Guards against accepting the key of a removed workspace, and against running
