backend: an attempt whose check fails did not run

Cause: an error of BeforeSend without a code was told as "may have run", though nothing is sent after it; an attempt without BeforeSend ended the daemon. Whether the answer has a body was written by the goroutine that sends a long request, beside the one that reads the answer.

Change: errors of the check become "not run"; no check is none; the field is set before the goroutine starts.

Result: TestFailedCheckMeansNotRun fails before. The race was found by reading: the race detector sees an order through the socket, so TestLongBodiesAreWrittenInTheBackground passes before, too.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -79,9 +79,14 @@
 	return n, err
 }
 
-// write writes a request to the connection.
+// write writes a request to the connection, and notes whether its answer has a body.
 func (x *exchange) write(req *fasthttp.Request) error {
 	x.noBody = req.Header.IsHead()
+	return x.send(req)
+}
+
+// send writes a request to the connection.
+func (x *exchange) send(req *fasthttp.Request) error {
 	w, _ := writeBuffers.Get().(*bufio.Writer)
 	w.Reset(x)
 	defer func() {
--- a/backend/relay.go
+++ b/backend/relay.go
@@ -58,8 +58,8 @@
 	// MaxIdleConns bounds the idle connections to the server; 0 for the
 	// default, which is also the maximum.
 	MaxIdleConns int
-	// BeforeSend is called immediately before the first byte is written. If it
-	// returns an error, nothing is sent.
+	// BeforeSend is called immediately before the first byte is written; nil for no
+	// check. If it returns an error, nothing is sent.
 	BeforeSend func() error
 	// OnHead is called with every head that the server sends, also that of an
 	// answer to another call; nil for none.
@@ -158,9 +158,9 @@
 	if err != nil {
 		return nil, asError(notSentError(ctx, serverID, err))
 	}
-	if err := a.BeforeSend(); err != nil {
+	if err := a.checkBeforeSend(); err != nil {
 		r.pool.putUnused(c)
-		return nil, asError(err)
+		return nil, err
 	}
 	firstOnConn := !c.used
 	p := &Response{relay: r, exchange: newExchange(ctx, c), ctx: ctx, place: serverID, maxIdleConns: relayMaxIdleConns}
@@ -181,6 +181,23 @@
 	return p, nil
 }
 
+// checkBeforeSend calls BeforeSend. Its error always means that the call did not run,
+// since nothing was sent.
+func (a CallAttempt) checkBeforeSend() *wigeonladder.Error {
+	if a.BeforeSend == nil {
+		return nil
+	}
+	err := a.BeforeSend()
+	var e *wigeonladder.Error
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &e) && e.Code.Info().Outcome == wigeonladder.NotRun:
+		return e
+	}
+	return wigeonladder.Errorf(wigeonladder.CodeContractLate, a.Instance.ID, "%v", err)
+}
+
 // getConn returns a connection whose server is not expected to close it while
 // the call is sent.
 func (r *Relay) getConn(ctx context.Context, a CallAttempt) (*serverConn, error) {
@@ -220,10 +237,12 @@
 		defer fasthttp.ReleaseRequest(req)
 		return p.exchange.write(req)
 	}
+	// Set here because the answer may be read before the background has begun.
+	p.exchange.noBody = req.Header.IsHead()
 	p.writeResult = make(chan error, 1)
 	go func() {
 		defer fasthttp.ReleaseRequest(req)
-		p.writeResult <- p.exchange.write(req)
+		p.writeResult <- p.exchange.send(req)
 	}()
 	return nil
 }
--- a/backend/relay_test.go
+++ b/backend/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -335,3 +336,40 @@
 		}
 	}
 }
+
+// Guards against a call that was not sent and of which the caller is told that it may
+// have run, and against an attempt without a check that ends the daemon.
+func TestFailedCheckMeansNotRun(t *testing.T) {
+	is := is.New(t)
+	s := newScript(t, func(int) (string, bool) { return wholeAnswer("a1", "x"), false })
+	r := newTestRelay(t)
+	for _, err := range []error{errors.New("plain"), wigeonladder.Errorf(wigeonladder.CodeBroken, "", "may have run")} {
+		a := callAt(s.Address(), "a1", true)
+		a.BeforeSend = func() error { return err }
+		got := relayCall(t.Context(), r, a).err
+		is.Equal(got.Code, wigeonladder.CodeContractLate)
+		is.Equal(got.Code.Info().Outcome, wigeonladder.NotRun)
+	}
+	requests, _ := s.Received()
+	is.Equal(len(requests), 0)
+	a := callAt(s.Address(), "a1", true)
+	a.BeforeSend = nil
+	is.Equal(relayCall(t.Context(), r, a).body, "x")
+}
+
+// Guards against a body that is written in the background while the head of the answer
+// is read: the race detector finds state that both share.
+func TestLongBodiesAreWrittenInTheBackground(t *testing.T) {
+	is := is.New(t)
+	s := newScript(t, func(int) (string, bool) { return wholeAnswer("a1", "x"), false })
+	r := newTestRelay(t)
+	a := callAt(s.Address(), "a1", true)
+	a.Call.Body = []byte(strings.Repeat("x", 4*backgroundWriteMinBytes))
+	for range 20 {
+		is.Equal(relayCall(t.Context(), r, a).body, "x")
+	}
+	requests, _ := s.Received()
+	for _, q := range requests {
+		is.Equal(q.Content, string(a.Call.Body))
+	}
+}
