forward: at most two sendings beyond the attempts of a route

Change: one bound for all sendings. The rig has five servers in place of three, which hid it: "safe, refused" and "safe, broken, then refused" ended for want of a server, and end at the bound of four sendings now.

Result: "safe, not connected" and "once, not connected" of TestRetryRules fail before, with 5 and 4 sendings.

--- a/forward/failure.go
+++ b/forward/failure.go
@@ -42,8 +42,8 @@
 	switch err.Code {
 	case wigeonladder.CodeContractLate, wigeonladder.CodeConnect:
 		// Nothing reached a backend server, so the retry adds no load and
-		// spends no budget. It allows one send more than after a refusal.
-		return r.sends <= r.match.Route.MaxAttempts+extraSends
+		// spends no budget.
+		return r.sends < r.match.Route.MaxAttempts+extraSends
 	case wigeonladder.CodeRefused:
 		return r.sends < r.match.Route.MaxAttempts+extraSends && r.forwarder.options.Budget.Spend(r.job.Service)
 	case wigeonladder.CodeBroken, wigeonladder.CodeCrossed, wigeonladder.CodeBackend:
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -70,7 +70,7 @@
 // Note implements wigeonladder.Journal.
 func (discardJournal) Note(string, string, ...any) {}
 
-// rig is a forwarder with three servers of one service.
+// rig is a forwarder with five servers of one service.
 type rig struct {
 	*Forwarder
 	sender     *sender
@@ -96,7 +96,7 @@
 			Routes: []route.Route{at("safe", route.Safe, 2), at("once", route.AtMostOnce, 1), at("stream", route.Stream, 2), at("resume", route.Stream, 2)},
 		})
 		pool := place.NewPool(t.Context(), place.Options{})
-		for _, id := range []string{"a", "b", "c"} {
+		for _, id := range []string{"a", "b", "c", "d", "e"} {
 			pool.Put(wigeonladder.Instance{ID: id, Service: "s", Slots: 4})
 		}
 		r.Forwarder = New(Options{
@@ -142,8 +142,9 @@
 		"once, refused":              {"/once/", []wigeonladder.Code{refused}, 3, 503},
 		"once, refused, then broken": {"/once/", []wigeonladder.Code{refused, broken}, 2, 502},
 		"safe, broken":               {"/safe/", []wigeonladder.Code{broken}, 2, 502},
-		"safe, broken, then refused": {"/safe/", []wigeonladder.Code{broken, refused}, 3, 502},
-		"safe, refused":              {"/safe/", []wigeonladder.Code{refused}, 3, 503},
+		"safe, broken, then refused": {"/safe/", []wigeonladder.Code{broken, refused}, 4, 502},
+		"safe, not connected":        {"/safe/", []wigeonladder.Code{connect}, 4, 503},
+		"safe, refused":              {"/safe/", []wigeonladder.Code{refused}, 4, 503},
 		"stream, broken":             {"/stream/", []wigeonladder.Code{broken}, 1, 502},
 		"resumable, broken":          {"/resume/", []wigeonladder.Code{broken}, 2, 502},
 	} {
