inventory: a daemon that others follow asks the store for short waits

All servers send their heartbeats together; between them a watch waited up to 0.7 s, longer than the others wait for the reader.

Change: while others follow it, a daemon's watch of the store waits at most 0.1 s.

--- a/inventory/feed.go
+++ b/inventory/feed.go
@@ -9,8 +9,17 @@
 	"time"
 )
 
-// maxFeedItems bounds the changes that a Feed keeps.
-const maxFeedItems = 4096
+const (
+	// maxFeedItems bounds the changes that a Feed keeps.
+	maxFeedItems = 4096
+	// feedWatchTimeout is how long a watch of the store by a daemon that others follow
+	// waits for a change: they wait for its answer, also if there is none.
+	feedWatchTimeout = 100 * time.Millisecond
+	// feedUsedTime is the time since the last call of Watch for which a feed counts as
+	// used. It is longer than the time between two attempts of a daemon that got no
+	// answer.
+	feedUsedTime = 2 * relayRetryDelay
+)
 
 // ErrNoFeed is the error of a Feed that cannot tell all changes after a revision.
 var ErrNoFeed = errors.New("the daemon does not have all changes after this revision")
@@ -31,6 +40,9 @@
 	// clock now.
 	reads  int
 	readAt time.Duration
+	// usedAt is when Watch was last called, on the clock now; everUsed is false before.
+	usedAt   time.Duration
+	everUsed bool
 	// updated is closed and replaced after each read.
 	updated chan struct{}
 }
@@ -70,6 +82,13 @@
 	f.open, f.history = false, nil
 }
 
+// isUsed reports whether other daemons follow the store over this one.
+func (f *Feed) isUsed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.everUsed && f.now()-f.usedAt < feedUsedTime
+}
+
 // Watch returns the changes after a revision once this daemon has read the store the
 // next time. Page.ReadOffset counts from the call. The error is ErrNoFeed if there is
 // no such read before the wait ends, or if the history does not reach back to the
@@ -77,6 +96,7 @@
 func (f *Feed) Watch(ctx context.Context, after int64, wait time.Duration) (Page, error) {
 	f.mu.Lock()
 	called, reads := f.now(), f.reads
+	f.usedAt, f.everUsed = called, true
 	f.mu.Unlock()
 	t := time.NewTimer(wait)
 	defer t.Stop()
--- a/inventory/feed_test.go
+++ b/inventory/feed_test.go
@@ -98,14 +98,14 @@
 // now is the clock of all daemons.
 func (z *feedZone) now() time.Duration { return time.Since(z.start) }
 
-// newFeedZone starts daemons. Each of a number of servers sends a heartbeat every 1.2 s.
+// newFeedZone starts daemons. The servers send their heartbeats together every 3.1 s.
 func newFeedZone(ctx context.Context, n int) *feedZone {
 	z := &feedZone{start: time.Now(), store: newFakeStore(), random: rand.New(rand.NewPCG(1, 2))}
 	z.store.put("config", "1")
 	go func() {
 		for i := 0; ctx.Err() == nil; i++ {
-			sleep(ctx, 100*time.Millisecond)
-			z.store.put(fmt.Sprintf("heartbeat-%d", i%12), fmt.Sprint(i))
+			sleep(ctx, 3100*time.Millisecond)
+			z.store.put("heartbeat", fmt.Sprint(i))
 		}
 	}()
 	for range n {
--- a/inventory/follower.go
+++ b/inventory/follower.go
@@ -172,10 +172,14 @@
 		}
 	}
 	sleep(ctx, time.Until(f.nextReadAt))
+	timeout := f.options.WatchTimeout
+	if f.options.Feed != nil && f.options.Feed.isUsed() {
+		timeout = min(timeout, feedWatchTimeout)
+	}
 	began := f.options.Now()
-	callCtx, cancel := context.WithTimeout(ctx, f.options.WatchTimeout+callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, timeout+callTimeout)
 	defer cancel()
-	p, err := f.options.Store.Watch(callCtx, f.options.KeyPrefix, revision, f.options.WatchTimeout)
+	p, err := f.options.Store.Watch(callCtx, f.options.KeyPrefix, revision, timeout)
 	return p, began, err
 }
 
