--- a/inventory/feed_test.go
+++ b/inventory/feed_test.go
@@ -304,7 +304,7 @@
 // withdrawn key would count for too long.
 func TestConfirmationsAreNoNewerThanTheirRead(t *testing.T) {
 	for name, prepare := range map[string]func(z *feedZone){
-		"delayed":  func(*feedZone) {},
+		"delayed": func(*feedZone) {},
 		"circular": func(z *feedZone) {
 			z.daemons[2].setReader(z.daemons[1])
 			z.daemons[1].setReader(z.daemons[2])
