backend: a long request is checked when it is written

Cause: a request with a body of 4 KiB or more is written by a goroutine of its own.

Change: the goroutine makes the check again right before it writes. If it fails, the call did not run.

Result: TestLongRequestsAreCheckedWhenTheyAreWritten fails before.

--- a/backend/relay.go
+++ b/backend/relay.go
@@ -175,7 +175,11 @@
 		return nil, asError(mayHaveRunError(ctx, serverID, err))
 	}
 	if err := p.readAnswerHead(a, firstOnConn); err != nil {
+		notRun := p.failedCheck()
 		p.Close()
+		if notRun != nil {
+			return nil, notRun
+		}
 		return nil, asError(mayHaveRunError(ctx, serverID, err))
 	}
 	return p, nil
@@ -242,11 +246,34 @@
 	p.writeResult = make(chan error, 1)
 	go func() {
 		defer fasthttp.ReleaseRequest(req)
+		// The goroutine may start late in a daemon that is short of processor time.
+		if err := a.checkBeforeSend(); err != nil {
+			p.writeResult <- err
+			_ = p.exchange.conn.Close()
+			return
+		}
 		p.writeResult <- p.exchange.send(req)
 	}()
 	return nil
 }
 
+// failedCheck returns the error of the check before a background write if that kept
+// the request from being sent, or nil.
+func (p *Response) failedCheck() *wigeonladder.Error {
+	if p.writeResult == nil {
+		return nil
+	}
+	select {
+	case err := <-p.writeResult:
+		var e *wigeonladder.Error
+		if errors.As(err, &e) && p.exchange.writtenBytes == 0 {
+			return e
+		}
+	default:
+	}
+	return nil
+}
+
 // readAnswerHead reads the head of the answer to the call. It skips up to
 // maxSkippedAnswers whole answers to other calls that arrive first.
 //
--- a/backend/relay_test.go
+++ b/backend/relay_test.go
@@ -357,6 +357,31 @@
 	is.Equal(relayCall(t.Context(), r, a).body, "x")
 }
 
+// Guards against a long request that is sent although its caller left before the
+// goroutine which writes it ran, seconds later in a daemon that is short of processor
+// time, and against one of which the caller is then told that it may have run.
+func TestLongRequestsAreCheckedWhenTheyAreWritten(t *testing.T) {
+	is := is.New(t)
+	s := newScript(t, func(int) (string, bool) { return wholeAnswer("a1", "x"), false })
+	r := newTestRelay(t)
+	a := callAt(s.Address(), "a1", false)
+	a.Call.Body = []byte(strings.Repeat("x", 2*backgroundWriteMinBytes))
+	checks := 0
+	a.BeforeSend = func() error {
+		if checks++; checks > 1 {
+			return wigeonladder.Errorf(wigeonladder.CodeCallerGone, "", "left")
+		}
+		return nil
+	}
+	got := relayCall(t.Context(), r, a)
+	is.True(got.err != nil)
+	is.Equal(got.err.Code, wigeonladder.CodeCallerGone)
+	requests, _ := s.Received()
+	is.Equal(len(requests), 0)
+	a.BeforeSend = nil
+	is.Equal(relayCall(t.Context(), r, a).body, "x")
+}
+
 // Guards against a body that is written in the background while the head of the answer
 // is read: the race detector finds state that both share.
 func TestLongBodiesAreWrittenInTheBackground(t *testing.T) {
