place: a server that answers meanwhile is not unreachable

Cause: on a congested link of a daemon, connections to all servers open later than the 0.3 s for which a call waits, while the answers of running calls still arrive.

Change: a connection that does not open blocks its server only if the server has not answered another call since the attempt began.

Test: place.TestAnsweringServerIsNotUnreachable fails before.

--- a/place/pool.go
+++ b/place/pool.go
@@ -293,8 +293,9 @@
 	s := l.server
 	s.own.unreadTokens -= l.load.unreadTokens
 	l.load.unreadTokens = 0
-	s.updateLatencyRatio(l.ExpectedFirstToken, time.Since(l.sentAt))
-	s.unblock()
+	now := time.Now()
+	s.updateLatencyRatio(l.ExpectedFirstToken, now.Sub(l.sentAt))
+	s.hear(now)
 	p.drain(p.serviceState(l.job.Service))
 }
 
@@ -324,12 +325,14 @@
 	switch r {
 	case Completed:
 		s.recordOutcome(false, now)
-		s.unblock()
+		s.hear(now)
 	case Failed, Declined:
 		s.recordOutcome(true, now)
 	case Unreachable:
 		s.recordOutcome(true, now)
-		if !p.isLate(now) {
+		// A server that answered meanwhile is alive; the connection was slow to open
+		// because the link of this daemon, or the server, is congested.
+		if !p.isLate(now) && s.heardAt.Before(l.sentAt) {
 			s.blockUnreachable(now)
 		}
 	case Inconclusive:
--- a/place/pool_test.go
+++ b/place/pool_test.go
@@ -289,6 +289,25 @@
 	})
 }
 
+// Guards against a congested link that makes servers look unreachable one after the
+// other, so that all calls go to those that are left. Connections then open too
+// late while the answers to other calls still arrive.
+func TestAnsweringServerIsNotUnreachable(t *testing.T) {
+	bubble(t, 1, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		answered, slow := r.acquire(t, r.job("w", "s")), r.acquire(t, r.job("w", "s"))
+		time.Sleep(200 * time.Millisecond)
+		answered.RecordFirstToken()
+		time.Sleep(100 * time.Millisecond)
+		slow.End(Unreachable)
+		is.Equal(r.Dump()[0].Unavailable, "")
+		silent := r.acquire(t, r.job("w", "s"))
+		time.Sleep(300 * time.Millisecond)
+		silent.End(Unreachable)
+		is.Equal(r.Dump()[0].Unavailable, "unreachable")
+	})
+}
+
 // Guards against a failing server that keeps getting as many calls as others,
 // and against one that never gets them again after it recovers.
 func TestFailingServerGetsLess(t *testing.T) {
--- a/place/server.go
+++ b/place/server.go
@@ -73,6 +73,8 @@
 	blockedUntil time.Time
 	blockTime    time.Duration
 	probing      bool
+	// heardAt is when the server last answered a call of this daemon.
+	heardAt time.Time
 	// notice is what was said about calls to this incarnation; nil for nothing.
 	notice *notice
 	// queuedTokens is the number of prompt tokens of the jobs that wait in this
@@ -179,8 +181,9 @@
 	s.probing = true
 }
 
-// unblock ends a block and the probing after it.
-func (s *server) unblock() {
+// hear records that the server answered. That ends a block and the probing after it.
+func (s *server) hear(now time.Time) {
+	s.heardAt = now
 	s.blockTime, s.blockedUntil, s.probing = 0, time.Time{}, false
 }
 
