backend: slow connections are waited for and kept

A call that gave up after 0.3 s tried the next server, where its connection opened as late; a connection that opened after its call had gone was closed, and one that another call returned meanwhile was not used.

Change: a call takes the first connection that opens or is returned. It waits for twice the slowest recent opening, 0.3 to 1.5 s. A connection that opens too late is kept for the next call. Connections to servers that are cut off still end the wait after 0.3 s, since none of them opens.

--- a/backend/client.go
+++ b/backend/client.go
@@ -104,7 +104,7 @@
 // NewClient returns a client. It starts no goroutines.
 func NewClient(o Options) *Client {
 	o = o.withDefaults()
-	return &Client{options: o, pool: newPool(net.Dialer{Timeout: o.ConnectTimeout, LocalAddr: localAddr(o.LocalIP)}, o.IdleConnTimeout, o.MaxIdleConns)}
+	return &Client{options: o, pool: newPool(net.Dialer{Timeout: o.ConnectTimeout, LocalAddr: localAddr(o.LocalIP)}, o.ConnectTimeout, o.IdleConnTimeout, o.MaxIdleConns)}
 }
 
 // localAddr returns the address from which connections are opened; nil for any.
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -57,20 +57,32 @@
 	dialer       net.Dialer
 	idleTimeout  time.Duration
 	maxIdleConns int
-
-	mu        sync.Mutex
-	idle      map[string][]*serverConn
+	times        dialTimes
+	// ctx ends when the pool is closed.
+	ctx context.Context
+	end context.CancelFunc
+
+	mu   sync.Mutex
+	idle map[string][]*serverConn
+	// waiters contains the calls that wait for a connection, by server address.
+	waiters   map[string][]*connWaiter
 	lastSweep time.Time
 	closed    bool
 }
 
 // newPool returns an empty pool. It keeps up to maxIdleConns connections to an
-// address for idleTimeout each.
-func newPool(d net.Dialer, idleTimeout time.Duration, maxIdleConns int) *pool {
-	return &pool{dialer: d, idleTimeout: idleTimeout, maxIdleConns: maxIdleConns, idle: map[string][]*serverConn{}, lastSweep: time.Now()}
+// address for idleTimeout each. A call waits for a new connection for dialTimeout,
+// and up to the dialer's timeout while connections open slowly.
+func newPool(d net.Dialer, dialTimeout, idleTimeout time.Duration, maxIdleConns int) *pool {
+	ctx, end := context.WithCancel(context.Background())
+	return &pool{
+		dialer: d, idleTimeout: idleTimeout, maxIdleConns: maxIdleConns, times: dialTimes{min: dialTimeout, max: d.Timeout},
+		ctx: ctx, end: end, idle: map[string][]*serverConn{}, waiters: map[string][]*connWaiter{}, lastSweep: time.Now(),
+	}
 }
 
-// get returns an idle connection that the server has not closed, or a new one.
+// get returns an idle connection that the server has not closed, or the first that
+// is returned or opened meanwhile.
 func (p *pool) get(ctx context.Context, address string) (*serverConn, error) {
 	for {
 		conn := p.popIdle(address)
@@ -82,11 +94,7 @@
 		}
 		_ = conn.Close()
 	}
-	c, err := p.dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return newServerConn(c, address), nil
+	return p.dial(ctx, address)
 }
 
 // newServerConn returns a connection that has not been used yet.
@@ -133,8 +141,8 @@
 	p.keep(conn.address, conn, true, p.maxIdleConns)
 }
 
-// keep keeps a connection for reuse if reuse is true and the pool has room.
-// Otherwise it closes the connection.
+// keep gives a connection to a waiting call, or keeps it for reuse, if reuse is true
+// and the pool has room. Otherwise it closes the connection.
 func (p *pool) keep(address string, conn *serverConn, reuse bool, maxIdleConns int) {
 	if !reuse || conn.reader.Buffered() > 0 || conn.SetDeadline(time.Time{}) != nil {
 		_ = conn.Close()
@@ -142,9 +150,16 @@
 	}
 	p.mu.Lock()
 	toClose := p.sweep(time.Now())
-	if p.closed || len(p.idle[address]) >= maxIdleConns {
+	w := (*connWaiter)(nil)
+	if !p.closed && len(p.waiters[address]) > 0 && conn.usable() {
+		w = p.takeWaiter(address, func(*connWaiter) bool { return true })
+	}
+	switch {
+	case w != nil:
+		w.result <- connResult{conn: conn}
+	case p.closed, len(p.idle[address]) >= maxIdleConns:
 		toClose = append(toClose, conn)
-	} else {
+	default:
 		p.idle[address] = append(p.idle[address], conn)
 	}
 	p.mu.Unlock()
@@ -179,6 +194,7 @@
 // close closes the idle connections. Connections that are put later are closed
 // too.
 func (p *pool) close() {
+	p.end()
 	p.mu.Lock()
 	p.closed = true
 	idle := p.idle
--- a/backend/relay.go
+++ b/backend/relay.go
@@ -13,10 +13,12 @@
 )
 
 const (
-	// relayDialTimeout bounds the opening of a connection. Since nothing has
-	// been sent by then, the call can be tried at another server. That is
-	// faster than waiting for TCP to retransmit a lost SYN.
-	relayDialTimeout = 300 * time.Millisecond
+	// relayDialTimeout is how long a call waits for a connection to open. Since
+	// nothing has been sent by then, the call can be tried at another server. That
+	// is faster than waiting for TCP to retransmit a lost SYN. While connections
+	// open slowly a call waits longer, up to relayDialTimeoutMax.
+	relayDialTimeout    = 300 * time.Millisecond
+	relayDialTimeoutMax = 1500 * time.Millisecond
 	// unackedTimeout is how long sent data may stay unacknowledged before the
 	// connection counts as broken.
 	unackedTimeout = 2 * time.Second
@@ -105,7 +107,7 @@
 
 // NewRelay returns a relay that has no connections yet.
 func NewRelay(codec Codec) *Relay {
-	return &Relay{codec: codec, pool: newPool(conn.NewDialer(relayDialTimeout, unackedTimeout), relayIdleTimeout, relayMaxIdleConns)}
+	return &Relay{codec: codec, pool: newPool(conn.NewDialer(relayDialTimeoutMax, unackedTimeout), relayDialTimeout, relayIdleTimeout, relayMaxIdleConns)}
 }
 
 // Close closes the idle connections.
