place: a workspace far ahead of its share uses servers that idle

Cause: such a workspace got nothing, however idle the servers were.

Change: while less than half of the slots are taken and no call waits at the daemon, its calls go to servers that are less than half full and have nothing to read. They never wait. The state of all servers is one summary, 100 ms old at most.

Test: place.TestSpareCapacityIsUsed, refused before.

--- a/place/choose.go
+++ b/place/choose.go
@@ -101,11 +101,9 @@
 	}
 	slots := s.slots()
 	switch standing {
-	case fair.Denied:
-		return false
 	case fair.AboveShare:
 		slots = slots * 3 / 4
-	case fair.Deprioritized:
+	case fair.Deprioritized, fair.Denied:
 		slots /= 2
 		if g.waiting > 0 && j.assigned == nil {
 			return false
--- a/place/flood_test.go
+++ b/place/flood_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/fair"
 )
 
 // Guards against a flooded daemon whose processor time goes into calls that wait
@@ -43,3 +46,32 @@
 		is.True(waited <= refused/10)
 	})
 }
+
+// Guards against servers that idle while the calls of a workspace are refused because
+// it is far ahead of a starved one, and against such calls on servers that others use.
+func TestSpareCapacityIsUsed(t *testing.T) {
+	bubble(t, 4, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		r.window.SetCapacity(100000)
+		r.window.RecordDemand("starved", 1000000)
+		r.window.RecordThrottled("starved")
+		r.window.RecordDemand("ahead", 1000000)
+		r.window.RecordService("ahead", 400000)
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(r.window.Standing("ahead"), fair.Denied)
+		idle := r.acquire(t, r.job("ahead", "s"))
+		finish(idle)
+		for i := range 4 * 8 / 2 {
+			l := r.acquire(t, r.job("starved", fmt.Sprint("s", i)))
+			time.Sleep(l.ExpectedFirstToken)
+			l.RecordFirstToken()
+		}
+		r.window.RecordThrottled("starved")
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(r.window.Standing("ahead"), fair.Denied)
+		began := time.Now()
+		_, err := r.Acquire(t.Context(), r.job("ahead", "s"))
+		is.True(err != nil && err.Code == wigeonladder.CodeOverload)
+		is.Equal(time.Since(began), time.Duration(0))
+	})
+}
--- a/place/queue.go
+++ b/place/queue.go
@@ -191,7 +191,7 @@
 		return nil
 	}
 	standing := p.standing(g, j)
-	if standing != fair.Denied && !p.queueIsFull(g, j, now) {
+	if standing == fair.Denied && g.hasSpareCapacity(now) || standing != fair.Denied && !p.queueIsFull(g, j, now) {
 		return nil
 	}
 	return wigeonladder.Errorf(wigeonladder.CodeOverload, g.name, "%d calls of the workspace wait; it is %v its share", len(g.queues[j.Workspace]), standing).
@@ -223,7 +223,7 @@
 	// limit up to which it is sent calls of this workspace.
 	standing := p.standing(g, j)
 	expected := best.wait + best.slotWait + time.Duration(readTime(best.server.queuedTokens)*best.server.latencyRatio) - engineWaitLimit(standing)
-	if g.waiting >= maxWaiting || !now.Add(max(expected, 0)).Before(p.waitUntil(g, j)) {
+	if standing == fair.Denied || g.waiting >= maxWaiting || !now.Add(max(expected, 0)).Before(p.waitUntil(g, j)) {
 		return wigeonladder.Errorf(wigeonladder.CodeOverload, g.name, "%d calls wait", g.waiting).WithRetryDelay(p.retryDelay(g, j))
 	}
 	return nil
--- a/place/summary.go
+++ b/place/summary.go
@@ -36,3 +36,12 @@
 	}
 	return g.summary
 }
+
+// hasSpareCapacity reports whether less than half of the slots are taken and no call
+// waits here. A workspace that is far ahead of its share may then use servers that are
+// nearly idle: holding it back would leave them idle, and the calls of starved
+// workspaces still find room.
+func (g *serviceState) hasSpareCapacity(now time.Time) bool {
+	x := g.recentSummary(now)
+	return g.waiting == 0 && 2*x.running < x.slots
+}
