--- a/place/availability_test.go
+++ b/place/availability_test.go
@@ -129,7 +129,7 @@
 				refused <- err
 			}()
 			time.Sleep(time.Millisecond)
-			is.Equal(r.services["model"].waiting, 1)
+			is.Equal(r.Stats().Services[1].Waiting, 1)
 			began := time.Now()
 			r.RecordPause(r.instance(0), 30*time.Second)
 			err := <-refused
