--- a/place/pool_test.go
+++ b/place/pool_test.go
@@ -214,6 +214,8 @@
 			time.Sleep(interval)
 		}
 		time.Sleep(2 * runTime)
+		r.mu.Lock()
+		defer r.mu.Unlock()
 		is.True(late <= calls/20) // 95 in 100 are to be in time
 	})
 }
