--- a/exchange/columns.go
+++ b/exchange/columns.go
@@ -55,6 +55,7 @@
 	sentFields   = 3
 	totalsFields = 6
 	chargeFields = 3
+	maxFields    = totalsFields
 )
 
 // numbers is a list of numbers in the encoding of binary.AppendVarint.
@@ -68,23 +69,36 @@
 	return n
 }
 
-// rows returns the numbers, which must make whole rows of the given number of
-// fields. The first named fields of each row must be indexes of one of a number of
-// names.
-func (n numbers) rows(fields, named, names int) ([]int64, error) {
-	l := make([]int64, 0, len(n))
+// eachRow calls add with each row of the given number of fields, which is valid until
+// the next one. The first named fields of each row must be indexes of one of a number
+// of names.
+func (n numbers) eachRow(fields, named, names int, add func(row []int64)) error {
+	var buffer [maxFields]int64
+	row := buffer[:fields]
 	for len(n) > 0 {
-		x, size := binary.Varint(n)
-		if size <= 0 || len(l)%fields < named && !isIndex(x, names) {
-			return nil, errMalformed
+		for i := range row {
+			x, size := binary.Varint(n)
+			if size <= 0 || i < named && !isIndex(x, names) {
+				return errMalformed
+			}
+			row[i] = x
+			n = n[size:]
 		}
-		l = append(l, x)
-		n = n[size:]
+		add(row)
 	}
-	if len(l)%fields != 0 {
-		return nil, errMalformed
+	return nil
+}
+
+// rows returns the number of rows. The last byte of each number has no continuation
+// bit.
+func (n numbers) rows(fields int) int {
+	count := 0
+	for _, b := range n {
+		if b < 0x80 {
+			count++
+		}
 	}
-	return l, nil
+	return count / fields
 }
 
 // isIndex reports whether a number is the index of one of a number of names.
@@ -179,31 +193,28 @@
 		Sequence: c.Sequence, MaxIntervalMs: c.MaxIntervalMs, Suspicions: c.Suspicions,
 	}
 	r.Place.Leaving = c.Leaving
-	loads, err := c.Loads.rows(loadFields, 1, len(names))
-	if err != nil {
-		return Report{}, err
-	}
-	r.Place.Loads = slices.Grow(r.Place.Loads, len(loads)/loadFields)
-	for x := range slices.Chunk(loads, loadFields) {
+	r.Place.Loads = slices.Grow(r.Place.Loads, c.Loads.rows(loadFields))
+	err := c.Loads.eachRow(loadFields, 1, len(names), func(x []int64) {
 		r.Place.Loads = append(r.Place.Loads, place.ServerLoad{Server: names[x[0]], Running: int(x[1]), UnreadTokens: int(x[2]), MemoryTokens: int(x[3])})
-	}
-	sent, err := c.Sent.rows(sentFields, 1, len(names))
+	})
 	if err != nil {
 		return Report{}, err
 	}
-	r.Place.Sent = slices.Grow(r.Place.Sent, len(sent)/sentFields)
-	for x := range slices.Chunk(sent, sentFields) {
+	r.Place.Sent = slices.Grow(r.Place.Sent, c.Sent.rows(sentFields))
+	err = c.Sent.eachRow(sentFields, 1, len(names), func(x []int64) {
 		r.Place.Sent = append(r.Place.Sent, place.SentPart{Server: names[x[0]], Part: uint64(x[1]), Tokens: int(x[2])}) // #nosec G115
-	}
-	totals, err := c.Totals.rows(totalsFields, 1, len(names))
+	})
 	if err != nil {
 		return Report{}, err
 	}
-	r.Totals = slices.Grow(r.Totals, len(totals)/totalsFields)
-	for x := range slices.Chunk(totals, totalsFields) {
+	r.Totals = slices.Grow(r.Totals, c.Totals.rows(totalsFields))
+	err = c.Totals.eachRow(totalsFields, 1, len(names), func(x []int64) {
 		r.Totals = append(r.Totals, fair.WorkspaceTotals{
 			Workspace: names[x[0]], Demand: x[1], Service: x[2], Throttled: x[3] != 0, RecentDemand: x[4], RecentService: x[5],
 		})
+	})
+	if err != nil {
+		return Report{}, err
 	}
 	if c.Charges != nil {
 		r.Charges, err = c.Charges.report(names)
@@ -214,13 +225,15 @@
 // report returns the charges of one report.
 func (c chargeColumns) report(names []string) (*wigeonladder.ChargeReport, error) {
 	r := &wigeonladder.ChargeReport{HomeIncarnation: c.HomeIncarnation, Slots: c.Slots}
-	rows, err := c.Rows.rows(chargeFields, 2, len(names))
-	if err != nil || len(rows) != chargeFields*len(c.Counters) {
+	r.Rows = slices.Grow(r.Rows, len(c.Counters))
+	err := c.Rows.eachRow(chargeFields, 2, len(names), func(x []int64) {
+		r.Rows = append(r.Rows, wigeonladder.Charge{Service: names[x[0]], Workspace: names[x[1]], Total: x[2]})
+	})
+	if err != nil || len(r.Rows) != len(c.Counters) {
 		return nil, errMalformed
 	}
 	for i, counter := range c.Counters {
-		x := rows[i*chargeFields:]
-		r.Rows = append(r.Rows, wigeonladder.Charge{Service: names[x[0]], Workspace: names[x[1]], Total: x[2], Counter: counter})
+		r.Rows[i].Counter = counter
 	}
 	return r, nil
 }
--- a/place/bench_test.go
+++ b/place/bench_test.go
@@ -26,9 +26,11 @@
 		b.Run(fmt.Sprintf("refused/%d", servers), func(b *testing.B) {
 			r := newRig(b.Context(), "zone-a", servers)
 			r.window.SetCapacity(1000)
-			for i := range servers * 2 {
+			for i := range servers * 6 {
 				ctx, cancel := context.WithTimeout(b.Context(), time.Second)
-				_, _ = r.Acquire(ctx, r.job(fmt.Sprintf("v%d", i%30), fmt.Sprintf("s%d", i)))
+				if l, err := r.Acquire(ctx, r.job(fmt.Sprintf("v%d", i%30), fmt.Sprintf("s%d", i))); err == nil {
+					l.RecordFirstToken()
+				}
 				cancel()
 			}
 			r.window.RecordDemand("w", 1<<30)
--- a/place/choose.go
+++ b/place/choose.go
@@ -48,17 +48,40 @@
 // bestServer returns the candidate with the lowest rank; nil if no server takes
 // calls.
 func (p *Pool) bestServer(g *serviceState, j *Job, now time.Time) *candidate {
-	var best *candidate
+	var best candidate
 	preferred := p.preferredServers(g, j, now)
+	for _, s := range preferred.servers[:preferred.count] {
+		if o := p.evaluate(s, j, preferred, now); best.server == nil || o.isBefore(best) {
+			best = o
+		}
+	}
 	for _, s := range g.order {
-		if !s.available(now) || j.ExcludedServers[s.instance.ID] {
+		// What a server has cached is looked up only if it can still be the best.
+		if best.server != nil && p.minRank(s) > best.rank || !s.available(now) || j.ExcludedServers[s.instance.ID] {
 			continue
 		}
-		if o := p.evaluate(s, j, preferred, now); best == nil || o.rank < best.rank {
-			best = &o
+		if o := p.evaluate(s, j, preferred, now); best.server == nil || o.isBefore(best) {
+			best = o
 		}
 	}
-	return best
+	if best.server == nil {
+		return nil
+	}
+	return &best
+}
+
+// minRank returns a lower bound of the ranks that jobs have at a server.
+func (p *Pool) minRank(s *server) time.Duration {
+	if s.instance.Zone != p.options.Zone {
+		return s.expectedWait() + crossZonePenalty
+	}
+	return s.expectedWait()
+}
+
+// isBefore reports whether the candidate is better than another one. Of two with the
+// same rank it is the one whose name comes first.
+func (o candidate) isBefore(other candidate) bool {
+	return o.rank < other.rank || o.rank == other.rank && o.server.instance.ID < other.server.instance.ID
 }
 
 // evaluate returns the server as a candidate for a job.
@@ -136,6 +159,7 @@
 		sentAt: now, Unavailable: g.recentSummary(now).unavailable.String(),
 	}
 	s.own = s.own.add(l.load)
+	p.used[s] = struct{}{}
 	p.unread[l] = struct{}{}
 	if s.cache != nil {
 		s.cache.touchAll(j.chain)
--- a/place/pool.go
+++ b/place/pool.go
@@ -34,12 +34,18 @@
 
 	mu       sync.Mutex
 	services map[string]*serviceState
+	// servers contains the servers of all services by name, used those that run
+	// calls of this daemon.
+	servers map[string]*server
+	used    map[*server]struct{}
+	// imported is the buffer of serverLoads.
+	imported []serverLoad
 	// sentParts contains the prompt parts that were sent since the last report.
 	sentParts []SentPart
 	// leaving contains the servers that said since the last report that they leave.
 	leaving []LeavingServer
 	notices notices
-	remote  remoteDaemons
+	remote  *remoteDaemons
 	// unread contains the leases whose first token has not arrived.
 	unread map[*Lease]struct{}
 	// sweptAt is when sweep last ran, or the start; maxSweepDelay by how much one of its runs
@@ -80,8 +86,8 @@
 		o.LiveDaemons = func() int { return 1 }
 	}
 	p := &Pool{
-		options: o, services: map[string]*serviceState{}, notices: notices{byIncarnation: map[incarnation]*notice{}},
-		remote: remoteDaemons{}, unread: map[*Lease]struct{}{}, sweptAt: time.Now(),
+		options: o, services: map[string]*serviceState{}, servers: map[string]*server{}, used: map[*server]struct{}{}, notices: notices{byIncarnation: map[incarnation]*notice{}},
+		remote: newRemoteDaemons(), unread: map[*Lease]struct{}{}, sweptAt: time.Now(),
 	}
 	go func() {
 		t := time.NewTicker(sweepPeriod)
@@ -139,6 +145,7 @@
 		s.notice = p.notices.byIncarnation[incarnationOf(i)]
 		g.servers[i.ID] = s
 	}
+	p.servers[i.ID] = g.servers[i.ID]
 	g.sort()
 	p.drain(g)
 }
@@ -147,6 +154,7 @@
 func (p *Pool) Remove(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	delete(p.servers, id)
 	for _, g := range p.services {
 		delete(g.servers, id)
 		g.sort()
@@ -323,6 +331,9 @@
 	}
 	delete(p.unread, l)
 	s.own = load{s.own.running - 1, s.own.unreadTokens - l.load.unreadTokens, s.own.memoryTokens - l.load.memoryTokens}
+	if s.own.running == 0 {
+		delete(p.used, s)
+	}
 	now := time.Now()
 	switch r {
 	case Completed:
--- a/place/remote.go
+++ b/place/remote.go
@@ -18,14 +18,24 @@
 // remoteDaemons holds the loads of the other daemons by their names. The cost of a
 // report grows with the servers that the daemon uses, and not with those of the
 // fleet.
-type remoteDaemons map[string]*remoteDaemon
+type remoteDaemons struct {
+	byName map[string]*remoteDaemon
+	// nextExpiry is a time before which no report expires.
+	nextExpiry time.Time
+}
+
+// newRemoteDaemons returns the loads before any report.
+func newRemoteDaemons() *remoteDaemons { return &remoteDaemons{byName: map[string]*remoteDaemon{}} }
 
 // replace replaces the loads that a daemon reported.
-func (d remoteDaemons) replace(from string, loads []serverLoad, until time.Time) {
-	r := d[from]
+func (d *remoteDaemons) replace(from string, loads []serverLoad, until time.Time) {
+	r := d.byName[from]
 	if r == nil {
 		r = &remoteDaemon{}
-		d[from] = r
+		d.byName[from] = r
+	}
+	if until.Before(d.nextExpiry) {
+		d.nextExpiry = until
 	}
 	r.clear()
 	r.until = until
@@ -44,12 +54,22 @@
 	r.loads = r.loads[:0]
 }
 
-// expire forgets the daemons whose reports are no longer valid.
-func (d remoteDaemons) expire(now time.Time) {
-	for name, r := range d {
+// expire forgets the daemons whose reports are no longer valid. Most calls return at
+// once.
+func (d *remoteDaemons) expire(now time.Time) {
+	if now.Before(d.nextExpiry) {
+		return
+	}
+	d.nextExpiry = now.Add(maxExpiryDelay)
+	for name, r := range d.byName {
 		if now.After(r.until) {
 			r.clear()
-			delete(d, name)
+			delete(d.byName, name)
+		} else if r.until.Before(d.nextExpiry) {
+			d.nextExpiry = r.until
 		}
 	}
 }
+
+// maxExpiryDelay is the longest time between two searches for expired reports.
+const maxExpiryDelay = 10 * time.Second
--- a/place/report.go
+++ b/place/report.go
@@ -66,11 +66,9 @@
 	defer p.mu.Unlock()
 	r := Report{Sent: p.sentParts, Leaving: p.leaving}
 	p.sentParts, p.leaving = nil, nil
-	for _, g := range p.services {
-		for id, s := range g.servers {
-			if s.own.running > 0 {
-				r.Loads = append(r.Loads, ServerLoad{id, s.own.running, s.own.unreadTokens, s.own.memoryTokens})
-			}
+	for s := range p.used {
+		if p.servers[s.instance.ID] == s {
+			r.Loads = append(r.Loads, ServerLoad{s.instance.ID, s.own.running, s.own.unreadTokens, s.own.memoryTokens})
 		}
 	}
 	return r
@@ -85,18 +83,22 @@
 	for _, l := range r.Leaving {
 		p.recordReportedLeaving(l, now)
 	}
-	loads := make([]serverLoad, 0, len(r.Loads))
-	for _, g := range p.services {
-		for _, l := range r.Loads {
-			if s := g.servers[l.Server]; s != nil {
-				loads = append(loads, serverLoad{s, load{max(l.Running, 0), max(l.UnreadTokens, 0), max(l.MemoryTokens, 0)}})
-			}
+	for _, x := range r.Sent {
+		if s := p.servers[x.Server]; s != nil && s.cache != nil {
+			s.cache.touch(x.Part, max(x.Tokens, 0))
 		}
-		for _, x := range r.Sent {
-			if s := g.servers[x.Server]; s != nil && s.cache != nil {
-				s.cache.touch(x.Part, max(x.Tokens, 0))
-			}
+	}
+	p.remote.replace(from, p.serverLoads(r.Loads), now.Add(validity))
+}
+
+// serverLoads returns the loads of the known servers. They are valid until the next
+// call.
+func (p *Pool) serverLoads(l []ServerLoad) []serverLoad {
+	p.imported = p.imported[:0]
+	for _, x := range l {
+		if s := p.servers[x.Server]; s != nil {
+			p.imported = append(p.imported, serverLoad{s, load{max(x.Running, 0), max(x.UnreadTokens, 0), max(x.MemoryTokens, 0)}})
 		}
 	}
-	p.remote.replace(from, loads, now.Add(validity))
+	return p.imported
 }
--- a/place/server.go
+++ b/place/server.go
@@ -190,6 +190,9 @@
 
 // currentFailureRate returns the failure rate, decayed to the present.
 func (s *server) currentFailureRate(now time.Time) float64 {
+	if s.failureRate == 0 {
+		return 0
+	}
 	return s.failureRate * math.Exp2(-float64(now.Sub(s.failureRateAt))/float64(failureHalfLife))
 }
 
