fair: rows and totals of a window expire

Cause: the window kept a row for each workspace that ever had a call, and in it the totals of each incarnation of a daemon that ever named it; beyond 4,096 rows a new workspace counted as below its share for ever.

Change: a row goes a minute after its last use, the totals of another daemon after 30 s without news, before their daemon could count from zero again. While there is no room for a row, its workspace counts as having its share.

--- a/fair/window.go
+++ b/fair/window.go
@@ -118,6 +118,8 @@
 	lead         float64
 	// dirty contains the workspaces that the next export names.
 	dirty map[string]bool
+	// expiredAt is when unused rows were last removed.
+	expiredAt time.Time
 }
 
 // windowRow is the state of one workspace.
@@ -128,7 +130,9 @@
 	// ownTotals contains the totals of this daemon, peerTotals the last totals of
 	// the others by incarnation.
 	ownTotals  WorkspaceTotals
-	peerTotals map[string]WorkspaceTotals
+	peerTotals map[string]peerTotals
+	// usedAt is when something was last added.
+	usedAt time.Time
 	// throttledAt is when a call at any daemon was last throttled,
 	// ownThrottledAt when one at this daemon was.
 	throttledAt    time.Time
@@ -198,10 +202,14 @@
 	now := time.Now()
 	w.refresh(now)
 	r := w.rows[workspace]
-	if r == nil {
-		return BelowShare
+	switch {
+	case r != nil:
+		return w.standing(r, now)
+	case len(w.rows) >= maxWindowRows && w.level > 0:
+		// What the workspace received is not known; it must not gain by that.
+		return AboveShare
 	}
-	return w.standing(r, now)
+	return BelowShare
 }
 
 // standing implements Standing for one row, after a refresh.
@@ -258,11 +266,16 @@
 // row returns the row of a workspace and creates it if it does not exist; nil
 // if there are maxWindowRows already.
 func (w *Window) row(workspace string) *windowRow {
+	now := time.Now()
+	w.expire(now)
 	r := w.rows[workspace]
 	if r == nil && len(w.rows) < maxWindowRows {
-		r = &windowRow{peerTotals: map[string]WorkspaceTotals{}, ownTotals: WorkspaceTotals{Workspace: workspace}}
+		r = &windowRow{peerTotals: map[string]peerTotals{}, ownTotals: WorkspaceTotals{Workspace: workspace}}
 		w.rows[workspace] = r
 	}
+	if r != nil {
+		r.usedAt = now
+	}
 	return r
 }
 
@@ -359,13 +372,13 @@
 			continue
 		}
 		if last, known := r.peerTotals[from]; known {
-			r.demand.add(w.step(now), float64(max(t.Demand-last.Demand, 0)))
-			r.service.add(w.step(now), float64(max(t.Service-last.Service, 0)))
+			r.demand.add(w.step(now), float64(max(t.Demand-last.demand, 0)))
+			r.service.add(w.step(now), float64(max(t.Service-last.service, 0)))
 		} else {
 			r.demand.spread(w.step(now), float64(t.RecentDemand))
 			r.service.spread(w.step(now), float64(t.RecentService))
 		}
-		r.peerTotals[from] = t
+		r.peerTotals[from] = peerTotals{demand: t.Demand, service: t.Service, at: now}
 		if t.Throttled {
 			r.throttledAt = now
 		}
