place: the cache of a server follows the configuration

Cause: setEngine sized the cache once, at the first configuration. Change: a new size evicts what no longer fits; a service without an engine has no cache.

--- a/place/cache.go
+++ b/place/cache.go
@@ -96,8 +96,7 @@
 	return n
 }
 
-// touch records that the engine reads a part, and evicts the least recently
-// used parts beyond the capacity.
+// touch records that the engine reads a part.
 func (c *prefixCache) touch(key uint64, tokens int) {
 	if e, ok := c.parts[key]; ok {
 		c.order.MoveToFront(e)
@@ -105,6 +104,17 @@
 	}
 	c.parts[key] = c.order.PushFront(cachedPart{key, tokens})
 	c.used += tokens
+	c.evict()
+}
+
+// setCapacity changes the capacity.
+func (c *prefixCache) setCapacity(tokens int) {
+	c.capacity = tokens
+	c.evict()
+}
+
+// evict removes the least recently used parts beyond the capacity. The newest one stays.
+func (c *prefixCache) evict() {
 	for c.used > c.capacity && c.order.Len() > 1 {
 		last, _ := c.order.Remove(c.order.Back()).(cachedPart)
 		delete(c.parts, last.key)
--- a/place/server.go
+++ b/place/server.go
@@ -131,11 +131,19 @@
 // setEngine applies the description of the engine.
 func (s *server) setEngine(e *route.Engine) {
 	s.engine = e
-	if e != nil && s.cache == nil {
-		s.cache = newPrefixCache(int(float64(e.CacheTokens) * cacheFraction))
+	switch {
+	case e == nil:
+		s.cache = nil
+	case s.cache == nil:
+		s.cache = newPrefixCache(cacheCapacity(e))
+	default:
+		s.cache.setCapacity(cacheCapacity(e))
 	}
 }
 
+// cacheCapacity returns the number of tokens that an engine is assumed to cache.
+func cacheCapacity(e *route.Engine) int { return int(float64(e.CacheTokens) * cacheFraction) }
+
 // total returns the load of all daemons.
 func (s *server) total() load { return s.own.add(s.remoteSum) }
 
