caller: the retry delay of a refusal is stated

Cause: writeError stated RetryAfter only; refusals with a RetryDelay told callers no time to come back. Change: a delay is stated in seconds, rounded up. Test: caller.TestRetryDelayIsStated, which fails before.

--- a/caller/error.go
+++ b/caller/error.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -44,13 +45,22 @@
 	e := asError(err)
 	c.SetStatusCode(e.Code.Info().Status)
 	c.Response.Header.Set(headerResultCode, strconv.Itoa(int(e.Code)))
-	if e.RetryAfter > 0 {
-		c.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(e.RetryAfter))
+	if seconds := retryAfterSeconds(e); seconds > 0 {
+		c.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(seconds))
 	}
 	c.SetContentType("application/json")
 	c.SetBody(errorJSON(err))
 }
 
+// retryAfterSeconds returns the whole seconds after which a request may be sent again;
+// 0 for no statement. A retry delay is rounded up, so that no caller returns too early.
+func retryAfterSeconds(e *wigeonladder.Error) int {
+	if e.RetryDelay > 0 {
+		return int((e.RetryDelay + time.Second - 1) / time.Second)
+	}
+	return e.RetryAfter
+}
+
 // errorEvent returns the event that ends an incomplete stream.
 func errorEvent(err error) []byte {
 	b := append([]byte("event: error\ndata: "), errorJSON(err)...)
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -93,6 +93,25 @@
 	}
 }
 
+// Guards against callers that are not told when to return, or too early a time.
+func TestRetryDelayIsStated(t *testing.T) {
+	refusal := wigeonladder.Errorf(wigeonladder.CodeOverload, "model", "full")
+	for want, e := range map[string]*wigeonladder.Error{
+		"":  refusal,
+		"1": refusal.WithRetryDelay(time.Millisecond),
+		"2": refusal.WithRetryDelay(2 * time.Second).WithRetryAfter(9),
+		"3": refusal.WithRetryDelay(2*time.Second + 1),
+		"7": refusal.WithRetryAfter(7),
+	} {
+		r := newRig(t, fake.EngineOptions{}, func(_ *rig, o *caller.Options) {
+			o.Runner = fake.RunnerFunc(func(context.Context, wigeonladder.Request, wigeonladder.Sink) (wigeonladder.Usage, error) {
+				return wigeonladder.Usage{}, e
+			})
+		})
+		is.New(t).Equal(r.chat(chatJSON("hello", 5, false)).Header.Get("Retry-After"), want)
+	}
+}
+
 // Guards against passing a request to the Runner that differs from what the
 // caller sent.
 func TestRequestIsComplete(t *testing.T) {
