fair, place: servers that idle go to a workspace ahead up to a bound

Cause: with a workspace far ahead of a starved one used idle servers without a bound.

Change: a standing between Deprioritized and Denied, IdleOnly, up to 1.4 times the service of the starved workspace or the level.

--- a/fair/window.go
+++ b/fair/window.go
@@ -17,11 +17,15 @@
 	throttledFor = 1500 * time.Millisecond
 	// maxLead is the fraction by which, in a small fleet, the service of a
 	// workspace may exceed that of the least served starved workspace before
-	// its calls are denied. Without a bound, the workspace that sends the most
+	// its calls are held back. Without a bound, the workspace that sends the most
 	// calls would take nearly all spare capacity. The daemons of a large fleet
 	// learn of each other's service later and exceed the bound by more, so that
 	// the bound falls towards minLead as the fleet grows.
 	maxLead, minLead = 0.3, 0.0
+	// idleLead is the fraction by which it may do so with the calls that idle servers
+	// take. The calls of a starved workspace may all come to one daemon, which cannot
+	// place more whatever is idle; others are not to get twice as much.
+	idleLead = 0.4
 	// smallFleetDaemons is the number of daemons up to which the lead is maxLead.
 	smallFleetDaemons = 6
 	// deprioritizeLeadFraction is the fraction of the lead from which the calls
@@ -76,8 +80,11 @@
 	// Deprioritized means that the workspace has received more than a starved
 	// one, so that its calls are placed last.
 	Deprioritized
+	// IdleOnly means that the workspace has received so much more than a starved
+	// one that its calls are placed only while servers idle.
+	IdleOnly
 	// Denied means that the workspace has received so much more than a starved
-	// one that its calls are not placed now.
+	// one that its calls are not placed now, whatever is idle.
 	Denied
 )
 
@@ -88,6 +95,8 @@
 		return "beyond"
 	case Deprioritized:
 		return "ahead of"
+	case IdleOnly:
+		return "well ahead of"
 	case Denied:
 		return "far ahead of"
 	case BelowShare:
@@ -222,8 +231,10 @@
 	switch {
 	case service <= w.level:
 		return BelowShare
-	case w.hasStarved && service > (1+w.lead)*least:
+	case w.hasStarved && service > (1+max(w.lead, idleLead))*least:
 		return Denied
+	case w.hasStarved && service > (1+w.lead)*least:
+		return IdleOnly
 	case w.hasStarved && service > (1+w.lead*deprioritizeLeadFraction)*least:
 		return Deprioritized
 	}
--- a/place/choose.go
+++ b/place/choose.go
@@ -12,8 +12,8 @@
 	// fair share; the engine would serve them in order of arrival.
 	maxEngineWait = 300 * time.Millisecond
 	// aboveShareEngineWait and deprioritizedEngineWait take the place of
-	// maxEngineWait for workspaces with these standings; Denied counts as
-	// Deprioritized.
+	// maxEngineWait for workspaces with these standings; IdleOnly and Denied
+	// count as Deprioritized.
 	aboveShareEngineWait    = 150 * time.Millisecond
 	deprioritizedEngineWait = 40 * time.Millisecond
 	// displaceWeight is the additional weight of the time to read a shared
@@ -126,7 +126,9 @@
 	switch standing {
 	case fair.AboveShare:
 		slots = slots * 3 / 4
-	case fair.Deprioritized, fair.Denied:
+	case fair.Denied:
+		return false
+	case fair.Deprioritized, fair.IdleOnly:
 		slots /= 2
 		if g.waiting > 0 && j.assigned == nil {
 			return false
@@ -142,7 +144,7 @@
 	switch s {
 	case fair.AboveShare:
 		return aboveShareEngineWait
-	case fair.Deprioritized, fair.Denied:
+	case fair.Deprioritized, fair.IdleOnly, fair.Denied:
 		return deprioritizedEngineWait
 	case fair.BelowShare:
 	}
--- a/place/queue.go
+++ b/place/queue.go
@@ -11,7 +11,7 @@
 const (
 	// aboveShareWaitDivisor and deprioritizedWaitDivisor divide the target
 	// latency; the calls of workspaces with these standings wait at most for
-	// the quotient. Denied counts as Deprioritized.
+	// the quotient. IdleOnly and Denied count as Deprioritized.
 	aboveShareWaitDivisor    = 2
 	deprioritizedWaitDivisor = 8
 	// drainPeriod is the minimum time between two searches for jobs to place,
@@ -191,8 +191,16 @@
 		return nil
 	}
 	standing := p.standing(g, j)
-	if standing == fair.Denied && g.hasSpareCapacity(now) || standing != fair.Denied && !p.queueIsFull(g, j, now) {
-		return nil
+	switch standing {
+	case fair.BelowShare, fair.AboveShare, fair.Deprioritized:
+		if !p.queueIsFull(g, j, now) {
+			return nil
+		}
+	case fair.IdleOnly:
+		if g.hasSpareCapacity(now) {
+			return nil
+		}
+	case fair.Denied:
 	}
 	return wigeonladder.Errorf(wigeonladder.CodeOverload, g.name, "%d calls of the workspace wait; it is %v its share", len(g.queues[j.Workspace]), standing).
 		WithRetryDelay(p.retryDelay(g, j))
@@ -223,7 +231,7 @@
 	// limit up to which it is sent calls of this workspace.
 	standing := p.standing(g, j)
 	expected := best.wait + best.slotWait + time.Duration(readTime(best.server.queuedTokens)*best.server.latencyRatio) - engineWaitLimit(standing)
-	if standing == fair.Denied || g.waiting >= maxWaiting || !now.Add(max(expected, 0)).Before(p.waitUntil(g, j)) {
+	if standing == fair.IdleOnly || g.waiting >= maxWaiting || !now.Add(max(expected, 0)).Before(p.waitUntil(g, j)) {
 		return wigeonladder.Errorf(wigeonladder.CodeOverload, g.name, "%d calls wait", g.waiting).WithRetryDelay(p.retryDelay(g, j))
 	}
 	return nil
@@ -237,7 +245,7 @@
 		switch p.standing(g, j) {
 		case fair.AboveShare:
 			maxWait = j.TargetLatency / aboveShareWaitDivisor
-		case fair.Deprioritized, fair.Denied:
+		case fair.Deprioritized, fair.IdleOnly, fair.Denied:
 			maxWait = j.TargetLatency / deprioritizedWaitDivisor
 		case fair.BelowShare:
 			maxWait = min(maxWait, j.TargetLatency*waitTargets)
--- a/place/summary.go
+++ b/place/summary.go
@@ -38,9 +38,9 @@
 }
 
 // hasSpareCapacity reports whether less than half of the slots are taken and no call
-// waits here. A workspace that is far ahead of its share may then use servers that are
-// nearly idle: holding it back would leave them idle, and the calls of starved
-// workspaces still find room.
+// waits here. A workspace that is ahead of a starved one may then use servers that are
+// less than half full, up to a bound (fair.IdleOnly): holding it back would leave them
+// idle, and the calls of starved workspaces still find room.
 func (g *serviceState) hasSpareCapacity(now time.Time) bool {
 	x := g.recentSummary(now)
 	return g.waiting == 0 && 2*x.running < x.slots
