--- a/conn/listener.go
+++ b/conn/listener.go
@@ -32,17 +32,9 @@
 	RefusalResponse func() []byte
 }
 
-const (
-	// maxShedding is the number of connections that may be refused at the same
-	// time; further ones are closed at once.
-	maxShedding = 1024
-	// maxRefusing is the number of requests that are read and answered by a refusal
-	// at the same time. While there are so many, the next connection waits to be
-	// accepted, for refusingWait at most. Otherwise a flood of refusals takes the
-	// processor time that the accepted requests need.
-	maxRefusing  = 64
-	refusingWait = 20 * time.Millisecond
-)
+// maxShedding is the number of connections that may be refused at the same
+// time; further ones are closed at once.
+const maxShedding = 1024
 
 // Listener accepts connections as *Conn and keeps track of those that are open.
 type Listener struct {
@@ -52,11 +44,6 @@
 	// shed the number of connections that were not accepted because of a limit,
 	// shedding the number of those that are being refused.
 	unread, shed, shedding atomic.Int64
-	// refusing has an element for each request that is being refused.
-	refusing chan struct{}
-	// refusingWait and refusalTimeout are the constants refusingWait and
-	// lingerTimeout, unless a test changes them.
-	refusingWait, refusalTimeout time.Duration
 
 	mu   sync.Mutex
 	open map[*Conn]struct{}
@@ -67,10 +54,7 @@
 
 // NewListener returns a Listener that accepts from l.
 func NewListener(l net.Listener, limits Limits) *Listener {
-	return &Listener{
-		Listener: l, limits: limits, refusing: make(chan struct{}, maxRefusing), refusingWait: refusingWait, refusalTimeout: lingerTimeout,
-		open: map[*Conn]struct{}{},
-	}
+	return &Listener{Listener: l, limits: limits, open: map[*Conn]struct{}{}}
 }
 
 // Accept returns the next connection as a *Conn. It retries after temporary
@@ -99,68 +83,41 @@
 			continue
 		}
 		l.shedding.Add(1)
-		answered := l.waitToRefuse()
 		go func() {
 			defer l.shedding.Add(-1)
-			l.refuseRequest(n, answered)
+			refuseRequest(n, l.limits.RefusalResponse())
 		}()
 	}
 }
 
-// waitToRefuse waits until fewer than maxRefusing requests are being refused, or for
-// refusingWait, so that connections that send nothing keep out no others. The returned
-// function ends the refusal.
-func (l *Listener) waitToRefuse() (answered func()) {
-	end := func() { <-l.refusing }
-	select {
-	case l.refusing <- struct{}{}:
-		return end
-	default:
-	}
-	t := time.NewTimer(l.refusingWait)
-	defer t.Stop()
-	select {
-	case l.refusing <- struct{}{}:
-		return end
-	case <-t.C:
-		return func() {}
-	}
-}
-
 // refusalBuffers pools the buffers into which refused requests are read.
 var refusalBuffers = sync.Pool{New: func() any { return new([32 << 10]byte) }}
 
-// refuseRequest answers the request on a connection without parsing it, calls
-// answered, and closes the connection. It reads what the peer still sends, as Close
-// does after Linger.
-func (l *Listener) refuseRequest(n net.Conn, answered func()) {
+// refuseRequest answers the request on a connection without parsing it, and
+// closes the connection. It reads what the peer still sends, as Close does after
+// Linger.
+func refuseRequest(n net.Conn, response []byte) {
 	defer func() { _ = n.Close() }()
 	b, _ := refusalBuffers.Get().(*[32 << 10]byte)
 	defer refusalBuffers.Put(b)
-	err := l.answerUnread(n, b[:])
-	answered()
-	for err == nil {
-		_, err = n.Read(b[:])
+	if n.SetDeadline(time.Now().Add(lingerTimeout)) != nil {
+		return
 	}
-}
-
-// answerUnread reads a request into the buffer, writes the refusal and shuts down the
-// sending side.
-func (l *Listener) answerUnread(n net.Conn, b []byte) error {
-	if err := n.SetDeadline(time.Now().Add(l.refusalTimeout)); err != nil {
-		return err
-	}
-	if _, err := n.Read(b); err != nil {
-		return err
+	if _, err := n.Read(b[:]); err != nil {
+		return
 	}
-	if _, err := n.Write(l.limits.RefusalResponse()); err != nil {
-		return err
+	if _, err := n.Write(response); err != nil {
+		return
 	}
 	w, ok := n.(interface{ CloseWrite() error })
-	if !ok {
-		return errors.ErrUnsupported
+	if !ok || w.CloseWrite() != nil {
+		return
+	}
+	for {
+		if _, err := n.Read(b[:]); err != nil {
+			return
+		}
 	}
-	return w.CloseWrite()
 }
 
 // admit returns an accepted connection as a *Conn, or nil if a limit is reached,
