backend: no connection is lost when a call gives up as it opens

Cause: a call that gave up looked for a result before the opening goroutine had sent it; the connection was then neither used nor closed. Found while reading. Change: results are sent under the lock that ends the wait. Test: backend.TestNoConnectionIsLost, which waits for ever before.

--- a/backend/dial.go
+++ b/backend/dial.go
@@ -81,17 +81,15 @@
 	case <-t.C:
 		err = os.ErrDeadlineExceeded
 	}
-	p.removeWaiter(address, w)
-	select {
-	case x := <-w.result:
-		if x.conn != nil && ctx.Err() != nil {
-			p.putUnused(x.conn)
-			return nil, err
-		}
-		return x.conn, x.err
-	default:
+	if p.removeWaiter(address, w) {
 		return nil, err
 	}
+	x := <-w.result
+	if x.conn != nil && ctx.Err() != nil {
+		p.putUnused(x.conn)
+		return nil, err
+	}
+	return x.conn, x.err
 }
 
 // open opens a connection for a call, or for the pool if the call has another one or
@@ -102,20 +100,28 @@
 	if err == nil {
 		p.times.record(time.Since(started))
 	}
-	waits := p.removeWaiter(address, w)
-	switch {
-	case err != nil && waits:
-		w.result <- connResult{err: err}
-	case err != nil:
-	case waits:
-		w.result <- connResult{conn: newServerConn(c, address)}
-	default:
-		p.putUnused(newServerConn(c, address))
+	x := connResult{err: err}
+	if err == nil {
+		x.conn = newServerConn(c, address)
+	}
+	if !p.deliver(address, w, x) && x.conn != nil {
+		p.putUnused(x.conn)
+	}
+}
+
+// deliver ends the wait of a call with a result. It reports whether the call waited.
+func (p *pool) deliver(address string, w *connWaiter, x connResult) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.takeWaiter(address, func(y *connWaiter) bool { return y == w }) == nil {
+		return false
 	}
+	w.result <- x
+	return true
 }
 
-// removeWaiter ends the wait of a call for a connection that another call returns. It
-// reports whether the call waited.
+// removeWaiter ends the wait of a call that gives up. It reports whether the call
+// waited; otherwise its result is there.
 func (p *pool) removeWaiter(address string, w *connWaiter) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/backend/dial_test.go
+++ b/backend/dial_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -71,6 +72,38 @@
 	p.put(address, c, false)
 }
 
+// Guards against a connection that opens at the moment at which its call gives up, and
+// which is neither used nor closed.
+func TestNoConnectionIsLost(t *testing.T) {
+	is := is.New(t)
+	s := newScript(t, func(int) (string, bool) { return "", false })
+	opened := &atomic.Int64{}
+	d := net.Dialer{Timeout: time.Minute, Control: func(string, string, syscall.RawConn) error {
+		opened.Add(1)
+		return nil
+	}}
+	const calls = 300
+	p := newPool(d, 0, time.Minute, calls)
+	t.Cleanup(p.close)
+	var held []*serverConn
+	for i := range calls {
+		// Some of the calls wait for as long as it takes to open a connection.
+		p.times.min = time.Duration(i%60) * 10 * time.Microsecond
+		if c, err := p.get(t.Context(), s.Address()); err == nil {
+			held = append(held, c)
+		}
+	}
+	waitForCount(t, int(opened.Load()), func() int {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return len(held) + len(p.idle[s.Address()])
+	})
+	is.Equal(len(p.waiters), 0)
+	for _, c := range held {
+		p.put(s.Address(), c, false)
+	}
+}
+
 // Guards against a congested link on which all servers seem not to be reachable,
 // since connections open a little later than calls wait for them.
 func TestSlowConnectionsAreWaitedFor(t *testing.T) {
