--- a/fair/window.go
+++ b/fair/window.go
@@ -22,9 +22,9 @@
 	// learn of each other's service later and exceed the bound by more, so that
 	// the bound falls towards minLead as the fleet grows.
 	maxLead, minLead = 0.3, 0.0
-	// idleLead is the fraction by which it may do so with the calls that idle servers
-	// take. The calls of a starved workspace may all come to one daemon, which cannot
-	// place more whatever is idle; others are not to get twice as much.
+	// idleLead is the fraction up to which a workspace may exceed that service with
+	// calls that idle servers take. It is bounded, too, because the calls of the
+	// starved workspace may all come to one daemon that cannot place more of them.
 	idleLead = 0.4
 	// smallFleetDaemons is the number of daemons up to which the lead is maxLead.
 	smallFleetDaemons = 6
--- a/place/queue.go
+++ b/place/queue.go
@@ -230,8 +230,11 @@
 	// After that there is room once the server's expected wait falls below the
 	// limit up to which it is sent calls of this workspace.
 	standing := p.standing(g, j)
+	if standing == fair.IdleOnly {
+		return wigeonladder.Errorf(wigeonladder.CodeOverload, g.name, "the best server does not idle; the workspace is %v its share", standing).WithRetryDelay(p.retryDelay(g, j))
+	}
 	expected := best.wait + best.slotWait + time.Duration(readTime(best.server.queuedTokens)*best.server.latencyRatio) - engineWaitLimit(standing)
-	if standing == fair.IdleOnly || g.waiting >= maxWaiting || !now.Add(max(expected, 0)).Before(p.waitUntil(g, j)) {
+	if g.waiting >= maxWaiting || !now.Add(max(expected, 0)).Before(p.waitUntil(g, j)) {
 		return wigeonladder.Errorf(wigeonladder.CodeOverload, g.name, "%d calls wait", g.waiting).WithRetryDelay(p.retryDelay(g, j))
 	}
 	return nil
