--- a/call.go
+++ b/call.go
@@ -59,6 +59,19 @@
 	return int64(p.Tokens + 2*p.MaxOutputTokens)
 }
 
+// SharedIDs returns the ids of the parts that other requests may share: all but the
+// last.
+func (p Prompt) SharedIDs() []string {
+	if len(p.Parts) < 2 {
+		return nil
+	}
+	ids := make([]string, 0, len(p.Parts)-1)
+	for _, x := range p.Parts[:len(p.Parts)-1] {
+		ids = append(ids, x.ID)
+	}
+	return ids
+}
+
 // Instance is one run of a backend server, from its start to its end, as the
 // platform lists it.
 type Instance struct {
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -28,6 +28,7 @@
 	if r.forwarder.options.Sender.AcceptsConnections(i) {
 		return
 	}
+	r.note("server_crashed", "server", i.ID, "born", i.StartUnixMs, "began", r.began, "parts", r.call.Prompt.SharedIDs())
 	if r.forwarder.options.Suspects.RecordCrash(r.fingerprint, i.ID) {
 		r.note("suspect", "server", i.ID, "print", r.fingerprint)
 	}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -100,6 +100,9 @@
 	// cannot be resumed.
 	lastEventID           string
 	resumed, positionLost bool
+	// began is true once the last attempt has received the first event of a stream
+	// or a whole answer.
+	began bool
 	// firstByteAt is when the first byte of the answer arrived.
 	firstByteAt time.Time
 	// fallback is an error answer of a backend server that the caller gets if
@@ -186,6 +189,7 @@
 		"workspace", r.match.Workspace, "share", lease.Standing, "cost", r.call.Prompt.Cost(), "unavailable", lease.Unavailable)
 	lease.MarkSent()
 	r.sends++
+	r.began = false
 	resp, err := r.forwarder.options.Sender.Send(ctx, backend.CallAttempt{
 		Call: r.call, Instance: lease.Instance, Workspace: r.match.Workspace,
 		TimeLeft: time.Until(r.deadline), LastEventID: r.lastEventID, AtMostOnce: !r.match.Route.Repeatable(),
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return err
 	}
-	l.RecordFirstToken()
+	r.recordFirstToken(l)
 	r.firstByteAt = time.Now()
 	if p.Status >= 500 && !r.headSent {
 		return r.keepFailure(l, p, body)
@@ -37,6 +37,12 @@
 	return nil
 }
 
+// recordFirstToken records that the answer of the current attempt has begun.
+func (r *callRun) recordFirstToken(l *place.Lease) {
+	r.began = true
+	l.RecordFirstToken()
+}
+
 // checkAnswer returns an error if the answer must not reach the caller.
 func (r *callRun) checkAnswer(l *place.Lease, p *backend.Response) *wigeonladder.Error {
 	serverID := l.Instance.ID
@@ -77,7 +83,7 @@
 		if event == nil {
 			return r.endStream(p)
 		}
-		l.RecordFirstToken()
+		r.recordFirstToken(l)
 		if err := r.relayEvent(ctx, l, p, event); err != nil {
 			return err
 		}
