--- a/edge/rig_test.go
+++ b/edge/rig_test.go
@@ -57,6 +57,8 @@
 
 func withDaemons(n int) option { return func(s *setup) { s.daemons = n } }
 
+func withEngines(n int) option { return func(s *setup) { s.engines = n } }
+
 // withKeyTrust sets how long a withdrawn key may be accepted.
 func withKeyTrust(d time.Duration) option {
 	return func(s *setup) { s.settings.KeyTrustTime = setting.Duration(d) }
