retry, forward, place: calls with a prompt part that crashes servers are refused

Cause: a suspicion was keyed by the whole call (workspace, service, path, body). What crashed the servers was one part of the prompt, so that no key was ever met twice.

Change: Suspects keeps records of the shared parts of prompts beside those of whole calls. The first event of an answer clears a part; two independent crashes quarantine it at all daemons; while it is suspect, all daemons send its calls to one server. Changed records go with the next report, all of them once a second.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -44,6 +44,9 @@
 	// keyTrustMargin is subtracted from the time for which API keys are trusted.
 	// It covers a watch that reports a change as much as a second late.
 	keyTrustMargin = 1300 * time.Millisecond
+	// suspicionsPeriod is the time between two reports with all suspicions, from which
+	// a restarted daemon, or one that was cut off, learns them.
+	suspicionsPeriod = time.Second
 	// maxHeaderBytes and maxBodyBytes bound the header and the body of a call.
 	maxHeaderBytes = 20 << 10
 	maxBodyBytes   = 5 << 20
@@ -130,9 +133,11 @@
 	counters *fair.Counters
 	window   *fair.Window
 	suspects *retry.Suspects
-	front    *front.Server
-	seeds    atomic.Pointer[[]string]
-	leaving  atomic.Bool
+	// suspicionsSentAt is the time of the last report with all suspicions.
+	suspicionsSentAt time.Time
+	front            *front.Server
+	seeds            atomic.Pointer[[]string]
+	leaving          atomic.Bool
 	// storeRelayed is true while another daemon reads the store for this one.
 	storeRelayed atomic.Bool
 	cancel       context.CancelFunc
@@ -297,16 +302,20 @@
 	return !d.leaving.Load() && d.tableStore.Table() != nil && d.tableStore.KeysTrusted()
 }
 
-// exportReport returns the next report to the other daemons. Charges, totals
-// and suspicions are part of it only if charges is true.
+// exportReport returns the next report to the other daemons. Charges and totals are
+// part of it only if charges is true, suspicions when they change and each
+// suspicionsPeriod. It is not safe for concurrent use.
 func (d *Daemon) exportReport(charges bool) exchange.Report {
-	r := exchange.Report{Place: d.pool.Export()}
+	r := exchange.Report{Place: d.pool.Export(), Suspicions: d.suspects.ExportChanges()}
 	if charges {
 		if c := d.counters.Export(); len(c.Rows) > 0 {
 			r.Charges = &c
 		}
 		r.Totals = d.window.Export()
-		r.Suspicions = d.suspects.Export()
+	}
+	if now := time.Now(); now.Sub(d.suspicionsSentAt) >= suspicionsPeriod {
+		d.suspicionsSentAt = now
+		r.Suspicions = append(r.Suspicions, d.suspects.Export()...)
 	}
 	return r
 }
--- a/exchange/merge.go
+++ b/exchange/merge.go
@@ -16,9 +16,7 @@
 	r.Place = r.Place.WithNext(next.Place)
 	r.Charges = mergeCharges(r.Charges, next.Charges)
 	r.Totals = latestRows(r.Totals, next.Totals, func(a, b fair.WorkspaceTotals) int { return cmp.Compare(a.Workspace, b.Workspace) })
-	if next.Suspicions != nil {
-		r.Suspicions = next.Suspicions
-	}
+	r.Suspicions = latestRows(r.Suspicions, next.Suspicions, func(a, b wigeonladder.Suspicion) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return r
 }
 
--- a/exchange/mesh_test.go
+++ b/exchange/mesh_test.go
@@ -326,6 +326,9 @@
 	is.Equal(got.Totals, []fair.WorkspaceTotals{{Workspace: "v", Demand: 5}, {Workspace: "w", Demand: 1}})
 	is.Equal(got.Charges, a.Charges)
 	is.Equal(got.Suspicions, b.Suspicions)
+	next := got.WithNext(Report{Suspicions: []wigeonladder.Suspicion{{Fingerprint: 3}, {Fingerprint: 7, AgeMs: 1}}})
+	is.Equal(next.Suspicions, []wigeonladder.Suspicion{{Fingerprint: 3}, {Fingerprint: 7, AgeMs: 1}})
+	is.Equal(got.WithNext(Report{Suspicions: []wigeonladder.Suspicion{{Fingerprint: 3}}}).Suspicions, []wigeonladder.Suspicion{{Fingerprint: 3}, {Fingerprint: 7}})
 	is.Equal(Report{}.WithNext(a), a)
 	is.Equal(a.WithNext(Report{From: "f", Incarnation: "i", Sequence: 3, MaxIntervalMs: 4}).Sequence, int64(3))
 }
--- a/exchange/pack_test.go
+++ b/exchange/pack_test.go
@@ -85,7 +85,11 @@
 		}
 	}
 	for range rapid.IntRange(0, 2).Draw(t, "suspicions") {
-		r.Suspicions = append(r.Suspicions, wigeonladder.Suspicion{Fingerprint: rapid.Uint64().Draw(t, "fingerprint"), Servers: []string{name.Draw(t, "server")}, AgeMs: number.Draw(t, "age")})
+		r.Suspicions = append(r.Suspicions, wigeonladder.Suspicion{
+			Fingerprint: rapid.Uint64().Draw(t, "fingerprint"), Servers: []string{name.Draw(t, "server")}, AgeMs: number.Draw(t, "age"),
+			Part: rapid.Bool().Draw(t, "part"), CrashAgesMs: []int64{number.Draw(t, "crash age")}, LeadsMs: []int64{number.Draw(t, "lead")}, Workspaces: []string{name.Draw(t, "crash workspace")},
+			ClearedAgeMs: number.Draw(t, "cleared"), Independent: rapid.IntRange(0, 9).Draw(t, "independent"), Trials: rapid.IntRange(0, 9).Draw(t, "trials"),
+		})
 	}
 	return r
 }
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"time"
 
 	"github.com/wigeonladder/wigeonladder"
 	"github.com/wigeonladder/wigeonladder/place"
@@ -23,14 +25,23 @@
 
 // recordCrash records that a backend server crashed while it ran the call. The
 // network may also have cut off the answer, so the server counts as crashed
-// only if it accepts no connections either.
+// only if it accepts no connections either. Once the answer has begun, no part of the
+// prompt can be the cause.
 func (r *callRun) recordCrash(i wigeonladder.Instance) {
+	at := time.Now()
 	if r.forwarder.options.Sender.AcceptsConnections(i) {
 		return
 	}
 	r.note("server_crashed", "server", i.ID, "born", i.StartUnixMs, "began", r.began, "parts", r.call.Prompt.SharedIDs())
-	if r.forwarder.options.Suspects.RecordCrash(r.fingerprint, i.ID) {
-		r.note("suspect", "server", i.ID, "print", r.fingerprint)
+	suspects, server := r.forwarder.options.Suspects, fmt.Sprintf("%s/%d", i.ID, i.StartUnixMs)
+	isNew := false
+	if r.began {
+		isNew = suspects.RecordCrash(r.keys.Request, server)
+	} else {
+		isNew = suspects.RecordCallCrash(r.keys, server, at, r.sentAt)
+	}
+	if isNew {
+		r.note("suspect", "server", i.ID, "print", r.keys.Request)
 	}
 }
 
@@ -49,7 +60,7 @@
 		return r.sends < r.match.Route.MaxAttempts+extraSends && r.forwarder.options.Budget.Spend(r.job.Service)
 	case wigeonladder.CodeBroken, wigeonladder.CodeCrossed, wigeonladder.CodeBackend:
 		return r.match.Route.Repeatable() && r.mayHaveRunCount < r.match.Route.MaxAttempts &&
-			r.forwarder.options.Suspects.CheckQuarantine(r.fingerprint, r.call.ID) == nil && r.forwarder.options.Budget.Spend(r.job.Service)
+			r.forwarder.options.Suspects.CheckCall(r.keys, r.call.ID) == nil && r.forwarder.options.Budget.Spend(r.job.Service)
 	}
 	return false
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -81,12 +81,12 @@
 
 // callRun is the state of one call.
 type callRun struct {
-	forwarder   *Forwarder
-	call        *wigeonladder.Call
-	reply       wigeonladder.Reply
-	match       route.Match
-	job         *place.Job
-	fingerprint uint64
+	forwarder *Forwarder
+	call      *wigeonladder.Call
+	reply     wigeonladder.Reply
+	match     route.Match
+	job       *place.Job
+	keys      retry.CallKeys
 
 	deadline time.Time
 	// mayHaveRunCount is the number of attempts that may have run. sends is the
@@ -103,6 +103,8 @@
 	// began is true once the last attempt has received the first event of a stream
 	// or a whole answer.
 	began bool
+	// sentAt is the time of the last check before the current attempt was sent.
+	sentAt time.Time
 	// firstByteAt is when the first byte of the answer arrived.
 	firstByteAt time.Time
 	// fallback is an error answer of a backend server that the caller gets if
@@ -136,10 +138,10 @@
 		age, _ := tableStore.ConfirmationAge()
 		return wigeonladder.Errorf(wigeonladder.CodeStale, "", "version %d was last confirmed %v ago", m.Version, age.Round(time.Millisecond)).WithRetryDelay(unavailableRetryDelay)
 	}
-	r.fingerprint = retry.Fingerprint(wigeonladder.Request{
+	r.keys = retry.NewCallKeys(wigeonladder.Request{
 		Workspace: m.Workspace, Service: m.Service.Name, Path: r.call.Method + " " + r.call.Path, Body: r.call.Body,
-	})
-	if err := r.forwarder.options.Suspects.CheckQuarantine(r.fingerprint, r.call.ID); err != nil {
+	}, r.call.Prompt)
+	if err := r.forwarder.options.Suspects.CheckCall(r.keys, r.call.ID); err != nil {
 		return asError(err)
 	}
 	r.deadline = r.call.Received.Add(r.timeout())
@@ -178,6 +180,7 @@
 
 // attempt waits for a slot on a backend server and sends the call once.
 func (r *callRun) attempt(ctx context.Context) *wigeonladder.Error {
+	r.job.IsolationKey = r.forwarder.options.Suspects.IsolationKey(r.keys)
 	lease, err := r.forwarder.options.Pool.Acquire(ctx, r.job)
 	if err != nil {
 		return err
@@ -186,7 +189,8 @@
 	defer func() { lease.End(result) }()
 	r.note("placed", "server", lease.Instance.ID, "zone", lease.Instance.Zone, "version", r.match.Version,
 		"waited", time.Since(r.call.Received), "expected", lease.ExpectedFirstToken, "read", lease.UncachedTokens, "held", lease.CachedTokens,
-		"workspace", r.match.Workspace, "share", lease.Standing, "cost", r.call.Prompt.Cost(), "unavailable", lease.Unavailable)
+		"workspace", r.match.Workspace, "share", lease.Standing, "cost", r.call.Prompt.Cost(), "unavailable", lease.Unavailable,
+		"isolated", r.job.IsolationKey != 0)
 	lease.MarkSent()
 	r.sends++
 	r.began = false
@@ -207,7 +211,7 @@
 	if err != nil {
 		return r.recordFailure(ctx, lease, err)
 	}
-	r.forwarder.options.Suspects.Clear(r.fingerprint)
+	r.forwarder.options.Suspects.Clear(r.keys.Request)
 	return nil
 }
 
@@ -251,8 +255,12 @@
 	if !r.forwarder.options.Pool.Allowed(i) {
 		return wigeonladder.Errorf(wigeonladder.CodeContractLate, i.ID, "the backend server takes no calls any more")
 	}
-	if err := r.forwarder.options.Suspects.CheckQuarantine(r.fingerprint, i.ID); err != nil {
+	if key := r.forwarder.options.Suspects.IsolationKey(r.keys); key != 0 && r.job.IsolationKey == 0 {
+		return wigeonladder.Errorf(wigeonladder.CodeContractLate, i.ID, "a part of the prompt has become suspect")
+	}
+	if err := r.forwarder.options.Suspects.AdmitCall(r.keys, i.ID); err != nil {
 		return err
 	}
+	r.sentAt = time.Now()
 	return nil
 }
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return err
 	}
-	r.recordFirstToken(l)
+	r.recordFirstToken(l, p)
 	r.firstByteAt = time.Now()
 	if p.Status >= 500 && !r.headSent {
 		return r.keepFailure(l, p, body)
@@ -37,10 +37,14 @@
 	return nil
 }
 
-// recordFirstToken records that the answer of the current attempt has begun.
-func (r *callRun) recordFirstToken(l *place.Lease) {
-	r.began = true
+// recordFirstToken records that the answer of the current attempt has begun. An error
+// may be answered before a server has read the prompt, so it clears no part.
+func (r *callRun) recordFirstToken(l *place.Lease, p *backend.Response) {
 	l.RecordFirstToken()
+	if !r.began && p.Status < 300 {
+		r.forwarder.options.Suspects.RecordAnswer(r.keys)
+	}
+	r.began = true
 }
 
 // checkAnswer returns an error if the answer must not reach the caller.
@@ -83,7 +87,7 @@
 		if event == nil {
 			return r.endStream(p)
 		}
-		r.recordFirstToken(l)
+		r.recordFirstToken(l, p)
 		if err := r.relayEvent(ctx, l, p, event); err != nil {
 			return err
 		}
--- a/interfaces.go
+++ b/interfaces.go
@@ -253,9 +253,11 @@
 }
 
 // Suspicion records the backend servers that crashed, or broke off the answer,
-// while they ran a request. The request is suspected to be the cause.
+// while they ran a request or requests with one prompt part. The request or the part is
+// suspected to be the cause.
 type Suspicion struct {
-	// Fingerprint is the fingerprint of workspace, service, path and body.
+	// Fingerprint is the fingerprint of workspace, service, path and body, or of a
+	// prompt part.
 	Fingerprint uint64 `json:"p"`
 	// Servers are the names of these backend servers; none if the suspicion was
 	// cleared.
@@ -263,6 +265,23 @@
 	// AgeMs is the time since the last failure, or since the suspicion was
 	// cleared, in milliseconds.
 	AgeMs int64 `json:"a"`
+	// Part is true for a prompt part. The fields below are only set for one.
+	Part bool `json:"t,omitempty"`
+	// CrashAgesMs are the times since the crashes of Servers in milliseconds, LeadsMs
+	// the times in milliseconds between the sending of the last unanswered request
+	// and each crash.
+	CrashAgesMs []int64 `json:"g,omitempty"`
+	LeadsMs     []int64 `json:"l,omitempty"`
+	// Workspaces are the first workspaces whose requests were unanswered at a crash.
+	Workspaces []string `json:"w,omitempty"`
+	// ClearedAgeMs is the time since an answer last cleared the part in milliseconds;
+	// 0 if none has.
+	ClearedAgeMs int64 `json:"c,omitempty"`
+	// Independent is the number of crashes that the sender found to be independent of
+	// each other.
+	Independent int `json:"i,omitempty"`
+	// Trials is the number of trials after a quarantine that crashed a server.
+	Trials int `json:"n,omitempty"`
 }
 
 // SuspicionExchange exchanges suspicions between daemons, so that all of them
--- a/place/choose.go
+++ b/place/choose.go
@@ -48,6 +48,9 @@
 // bestServer returns the candidate with the lowest rank; nil if no server takes
 // calls.
 func (p *Pool) bestServer(g *serviceState, j *Job, now time.Time) *candidate {
+	if j.IsolationKey != 0 {
+		return p.isolatedServer(g, j, now)
+	}
 	var best candidate
 	preferred := p.preferredServers(g, j, now)
 	for _, s := range preferred.servers[:preferred.count] {
@@ -70,6 +73,26 @@
 	return &best
 }
 
+// isolatedServer returns the server on which all daemons run the jobs with the
+// isolation key of a job; nil if no server takes calls.
+func (p *Pool) isolatedServer(g *serviceState, j *Job, now time.Time) *candidate {
+	var chosen *server
+	var weight uint64
+	for _, s := range g.order {
+		if !s.available(now) || j.ExcludedServers[s.instance.ID] {
+			continue
+		}
+		if w := mix(j.IsolationKey ^ s.hash); chosen == nil || w > weight {
+			chosen, weight = s, w
+		}
+	}
+	if chosen == nil {
+		return nil
+	}
+	o := p.evaluate(chosen, j, preferredSet{}, now)
+	return &o
+}
+
 // minRank returns a lower bound of the ranks that jobs have at a server.
 func (p *Pool) minRank(s *server) time.Duration {
 	if s.instance.Zone != p.options.Zone {
--- a/place/job.go
+++ b/place/job.go
@@ -19,6 +19,9 @@
 	ArrivedAt     time.Time
 	TargetLatency time.Duration
 	Deadline      time.Time
+	// IsolationKey is not 0 for a job that may crash its server. Jobs with the same
+	// key go to the same server, whatever it has cached.
+	IsolationKey uint64
 	// ExcludedServers contains the servers that have failed the call before.
 	ExcludedServers map[string]bool
 
--- a/place/preferred_test.go
+++ b/place/preferred_test.go
@@ -98,3 +98,31 @@
 		}
 	})
 }
+
+// Guards against calls of several daemons that each crash another server, because
+// each daemon chooses one by what it has cached.
+func TestIsolatedCallsOfAllDaemonsShareAServer(t *testing.T) {
+	bubble(t, 6, func(t *testing.T, a *rig) {
+		is := is.New(t)
+		b := newRig(t.Context(), "zone-b", 6)
+		servers := map[string]bool{}
+		for i := range 4 {
+			for _, r := range []*rig{a, b} {
+				j := r.job("w", fmt.Sprint("part", i))
+				j.IsolationKey = 7
+				l := r.acquire(t, j)
+				servers[l.Instance.ID] = true
+				finish(l)
+			}
+		}
+		is.Equal(len(servers), 1)
+		j := a.job("w", "part")
+		j.IsolationKey = 7
+		for id := range servers {
+			j.ExcludedServers[id] = true
+		}
+		l := a.acquire(t, j)
+		is.True(!servers[l.Instance.ID]) // a retry goes to another server
+		finish(l)
+	})
+}
--- a/retry/doc.go
+++ b/retry/doc.go
@@ -6,7 +6,8 @@
 // is never sent again after a byte may have reached a server. A Budget allows
 // retries only in proportion to the successes of a workspace, so that a total
 // failure does not multiply the load. Suspects records which requests crashed
-// backend servers and quarantines a request that crashed two.
+// backend servers and quarantines a request that crashed two. It does the same for
+// prompt parts that requests share.
 //
 // SharedBudget is a retry budget per service that all daemons share. Package
 // forward uses it in place of the Runner and its Budget.
--- a/retry/suspects.go
+++ b/retry/suspects.go
@@ -1,7 +1,6 @@
 package retry
 
 import (
-	"cmp"
 	"container/list"
 	"encoding/binary"
 	"math"
@@ -26,12 +25,6 @@
 	maxSuspects = 4096
 	// maxServersPerSuspect bounds the crashed servers kept in one record.
 	maxServersPerSuspect = 4
-	// maxExported bounds the records in a message to a peer: 32 take about 2 KB.
-	maxExported = 32
-	// sameCrashInterval is the difference up to which two crash times count as
-	// one crash that two daemons saw. Without it, daemons that send each other
-	// the same suspicion would extend it by the delay of each exchange.
-	sameCrashInterval = 5 * time.Second
 )
 
 // Fingerprint identifies a request by workspace, service, path and body, so
@@ -50,26 +43,47 @@
 // suspect is the record of one fingerprint.
 type suspect struct {
 	fingerprint uint64
-	// servers are the backend servers that crashed; none once the request was
-	// cleared.
-	servers []string
-	// changedAt is when the last of them crashed, or when the request was
-	// cleared.
+	// isPart is true for the fingerprint of a prompt part, false for that of a whole
+	// request.
+	isPart bool
+	// crashes are the crashes of backend servers since clearedAt, the oldest first.
+	crashes []crash
+	// clearedAt is the time of the last answer that cleared the record; zero without
+	// one.
+	clearedAt time.Time
+	// changedAt is the time of the last crash or clearing.
 	changedAt time.Time
-	// running is closed when the run of the suspect ends; nil if none exists.
+	// running is closed when the run of a suspect request ends; nil if none exists.
 	running chan struct{}
+	part    partState
+}
+
+// crash is the end of one incarnation of a backend server.
+type crash struct {
+	server string
+	at     time.Time
+	// sentAt is the time at which the last unanswered call was sent to the server.
+	sentAt time.Time
 }
 
-// Suspects records which requests were running on backend servers that crashed.
-// Such a request is suspect and runs in isolation. A request that crashed two
+// Suspects records which requests, and which prompt parts, were running on backend
+// servers that crashed. A suspect runs in isolation. A request that crashed two
 // servers is quarantined: it is refused for 10 minutes. A request whose run
-// completed is cleared. Suspects implements wigeonladder.SuspicionExchange and is
-// safe for concurrent use.
+// completed is cleared. The rules for prompt parts are those of CheckCall. Suspects
+// implements wigeonladder.SuspicionExchange and is safe for concurrent use.
 type Suspects struct {
 	mu      sync.Mutex
 	records map[uint64]*list.Element
 	// order holds the records, the most recently changed first.
 	order *list.List
+	// pending holds the records that changed since the last ExportChanges.
+	pending map[uint64]struct{}
+	// crashLog holds the crashes that are known, whatever ran on the servers.
+	crashLog crashLog
+	// quarantined holds the parts of each quarantined group by each of its parts.
+	// It is computed anew after a change.
+	quarantined     map[uint64][]uint64
+	quarantineIsOld bool
 	// reservedServers holds the servers on which a suspect runs. The channel is
 	// closed when the reservation ends.
 	reservedServers map[string]chan struct{}
@@ -77,7 +91,10 @@
 
 // NewSuspects returns a Suspects without records.
 func NewSuspects() *Suspects {
-	return &Suspects{records: map[uint64]*list.Element{}, order: list.New(), reservedServers: map[string]chan struct{}{}}
+	return &Suspects{
+		records: map[uint64]*list.Element{}, order: list.New(), pending: map[uint64]struct{}{},
+		reservedServers: map[string]chan struct{}{},
+	}
 }
 
 // RecordCrash records that a server crashed while it ran the request. It reports
@@ -85,9 +102,12 @@
 func (s *Suspects) RecordCrash(fingerprint uint64, server string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	k := s.getOrCreate(fingerprint)
-	k.changedAt = time.Now()
-	return k.addServer(server)
+	now := time.Now()
+	k := s.getOrCreate(fingerprint, false)
+	k.changedAt = now
+	s.markChanged(k)
+	s.logCrash(server, now)
+	return k.addCrash(crash{server: server, at: now})
 }
 
 // Clear records that a run of the request completed.
@@ -95,12 +115,28 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if k := s.findActive(fingerprint); k != nil {
-		k.servers = nil
-		k.changedAt = time.Now()
+		k.clear(time.Now())
+		s.markChanged(k)
 		s.order.MoveToFront(s.records[fingerprint])
 	}
 }
 
+// clear removes the crashes up to a time.
+func (k *suspect) clear(at time.Time) {
+	k.crashes = slices.DeleteFunc(slices.Clone(k.crashes), func(c crash) bool { return !c.at.After(at) })
+	k.clearedAt = at
+	if len(k.crashes) == 0 {
+		k.changedAt = at
+		k.part.reset()
+	}
+}
+
+// markChanged records that a record changed.
+func (s *Suspects) markChanged(k *suspect) {
+	s.pending[k.fingerprint] = struct{}{}
+	s.quarantineIsOld = true
+}
+
 // IsSuspect reports whether the request crashed a server and was not cleared,
 // and the suspicion has not expired.
 func (s *Suspects) IsSuspect(fingerprint uint64) bool {
@@ -120,12 +156,12 @@
 // quarantineError returns an error if the suspect is quarantined. The suspect may
 // be nil.
 func (s *Suspects) quarantineError(k *suspect, place string) error {
-	if k == nil || len(k.servers) < quarantineCrashes {
+	if k == nil || len(k.crashes) < quarantineCrashes {
 		return nil
 	}
 	left := suspicionLifetime - time.Since(k.changedAt)
 	return wigeonladder.Errorf(wigeonladder.CodeSuspect, place,
-		"the backend servers %q broke while they ran this request", k.servers).
+		"the backend servers %q broke while they ran this request", k.servers()).
 		WithRetryAfter(int(math.Ceil(left.Seconds())))
 }
 
@@ -137,7 +173,7 @@
 		return nil
 	}
 	k := e.Value.(*suspect)
-	if len(k.servers) == 0 || k.expired() {
+	if len(k.crashes) == 0 || k.expired() {
 		return nil
 	}
 	return k
@@ -146,23 +182,39 @@
 // getOrCreate returns the record of a fingerprint and moves it to the front. An
 // expired record is emptied. Beyond maxSuspects a new record evicts the least
 // recently changed one.
-func (s *Suspects) getOrCreate(fingerprint uint64) *suspect {
+func (s *Suspects) getOrCreate(fingerprint uint64, isPart bool) *suspect {
 	if e, ok := s.records[fingerprint]; ok {
 		s.order.MoveToFront(e)
 		k := e.Value.(*suspect)
 		if k.expired() {
-			k.servers, k.changedAt = nil, time.Time{}
+			k.crashes, k.changedAt, k.clearedAt = nil, time.Time{}, time.Time{}
+			k.part.reset()
 		}
 		return k
 	}
 	if len(s.records) >= maxSuspects {
-		delete(s.records, s.order.Remove(s.order.Back()).(*suspect).fingerprint)
+		s.evict()
 	}
-	k := &suspect{fingerprint: fingerprint}
+	k := &suspect{fingerprint: fingerprint, isPart: isPart}
 	s.records[fingerprint] = s.order.PushFront(k)
 	return k
 }
 
+// evict removes the least recently changed record that is no quarantined part, if
+// there is one.
+func (s *Suspects) evict() {
+	e := s.order.Back()
+	for x := e; x != nil; x = x.Prev() {
+		if !x.Value.(*suspect).part.quarantined {
+			e = x
+			break
+		}
+	}
+	k := s.order.Remove(e).(*suspect)
+	delete(s.records, k.fingerprint)
+	delete(s.pending, k.fingerprint)
+}
+
 // restoreOrder moves the record at the front behind those that changed after it.
 // Otherwise old records of a peer would keep newer ones out of the next Export.
 func (s *Suspects) restoreOrder(k *suspect) {
@@ -172,78 +224,43 @@
 	}
 }
 
-// expired reports whether the record is older than suspicionLifetime.
-func (k *suspect) expired() bool { return time.Since(k.changedAt) >= suspicionLifetime }
-
-// addServer adds a server and reports whether it did so.
-func (k *suspect) addServer(server string) bool {
-	if len(k.servers) >= maxServersPerSuspect || slices.Contains(k.servers, server) {
-		return false
-	}
-	k.servers = append(slices.Clone(k.servers), server)
-	slices.Sort(k.servers)
-	return true
+// expired reports whether the record is older than suspicionLifetime. A part that was
+// quarantined does not expire: its quarantine ends with a trial.
+func (k *suspect) expired() bool {
+	return !k.part.quarantined && time.Since(k.changedAt) >= suspicionLifetime
 }
 
-// Export implements wigeonladder.SuspicionExchange. It returns the most recently
-// changed records. A record without servers means that the request was cleared.
-func (s *Suspects) Export() []wigeonladder.Suspicion {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var l []wigeonladder.Suspicion
-	for e := s.order.Front(); e != nil && len(l) < maxExported; e = e.Next() {
-		k := e.Value.(*suspect)
-		if k.expired() {
-			continue
+// addCrash adds the crash of a server and reports whether it was not known. Of two
+// times of one crash the earlier one is more precise, since reports of other daemons
+// arrive late.
+func (k *suspect) addCrash(c crash) bool {
+	if i := slices.IndexFunc(k.crashes, func(x crash) bool { return x.server == c.server }); i >= 0 {
+		lead := min(c.at.Sub(c.sentAt), k.crashes[i].at.Sub(k.crashes[i].sentAt))
+		if c.at.Before(k.crashes[i].at) {
+			k.crashes[i].at = c.at
 		}
-		l = append(l, wigeonladder.Suspicion{
-			Fingerprint: k.fingerprint,
-			Servers:     slices.Clone(k.servers),
-			AgeMs:       time.Since(k.changedAt).Milliseconds(),
-		})
+		k.crashes[i].sentAt = k.crashes[i].at.Add(-lead)
+		return false
 	}
-	return l
-}
-
-// Import implements wigeonladder.SuspicionExchange. The last event wins: a crash
-// that is older than a clearing does not make the request suspect again.
-func (s *Suspects) Import(l []wigeonladder.Suspicion) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	oldestFirst := slices.SortedStableFunc(slices.Values(l), func(a, b wigeonladder.Suspicion) int {
-		return cmp.Compare(b.AgeMs, a.AgeMs)
-	})
-	for _, v := range oldestFirst {
-		if v.AgeMs < 0 || v.AgeMs >= suspicionLifetime.Milliseconds() {
-			continue
-		}
-		s.merge(v, now.Add(-time.Duration(v.AgeMs)*time.Millisecond))
+	if !k.isPart && len(k.crashes) >= maxServersPerSuspect {
+		return false
+	}
+	k.crashes = append(slices.Clone(k.crashes), c)
+	slices.SortFunc(k.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
+	if len(k.crashes) > maxCrashesPerPart {
+		k.crashes = k.crashes[1:]
 	}
+	return true
 }
 
-// merge merges one record of a peer. The time is that of the last crash or of the
-// clearing.
-func (s *Suspects) merge(v wigeonladder.Suspicion, at time.Time) {
-	e, known := s.records[v.Fingerprint]
-	if known {
-		k := e.Value.(*suspect)
-		cleared := len(k.servers) == 0
-		if !k.expired() && at.Before(k.changedAt) && (cleared || len(v.Servers) == 0) {
-			return
-		}
-	}
-	k := s.getOrCreate(v.Fingerprint)
-	defer s.restoreOrder(k)
-	if len(v.Servers) == 0 {
-		k.servers, k.changedAt = nil, at
-		return
-	}
-	added := false
-	for _, server := range v.Servers {
-		added = k.addServer(server) || added
-	}
-	if at.After(k.changedAt) && (added || at.Sub(k.changedAt) > sameCrashInterval) {
-		k.changedAt = at
+// servers returns the crashed servers, sorted.
+func (k *suspect) servers() []string { return slices.Sorted(slices.Values(serversOf(k.crashes))) }
+
+// serversOf returns the servers of crashes.
+func serversOf(l []crash) []string {
+	servers := make([]string, 0, len(l))
+	for _, c := range l {
+		servers = append(servers, c.server)
 	}
+	return servers
 }
