--- a/backend/relay.go
+++ b/backend/relay.go
@@ -84,6 +84,10 @@
 	Leaving bool
 	// RetryAfter is the time for which the server asks for no calls; 0 for none.
 	RetryAfter time.Duration
+	// Limit is the number of requests a second that the server takes from all daemons
+	// together; HasLimit is false if it states none.
+	Limit    float64
+	HasLimit bool
 	// KeepAliveTimeout is how long the server says that it keeps an idle
 	// connection; 0 if it states no time.
 	KeepAliveTimeout time.Duration
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -219,6 +219,7 @@
 // server: that it leaves, or, in a refusal, that it wants none for a time.
 func (r *callRun) recordNotice(i wigeonladder.Instance, h backend.AnswerHead) {
 	pool := r.forwarder.options.Pool
+	r.recordLimit(i, h)
 	if h.Leaving && pool.RecordLeaving(i) {
 		r.note("server_leaving", "server", i.ID, "status", h.Status)
 	}
@@ -227,6 +228,13 @@
 	}
 }
 
+// recordLimit records the limit that the head of an answer states.
+func (r *callRun) recordLimit(i wigeonladder.Instance, h backend.AnswerHead) {
+	if h.HasLimit {
+		r.note("server_limit", "server", i.ID, "status", h.Status, "limit", h.Limit)
+	}
+}
+
 // isRefusalStatus reports whether a server with this status may ask for a pause.
 func isRefusalStatus(status int) bool { return status == 429 || status == 503 }
 
