place, exchange, forward: the limit that a server names holds over all daemons

Cause: Server-Limit was read nowhere. The lines server_limit show the rate of about 10 requests a second at each limited server before and after all daemons were told.

Change: a limit is kept with the other notices of an incarnation and divided among as many daemons as it allows requests a second, chosen by rendezvous hashing. For the others the server is unavailable; a part is a bucket that each sending takes from, and the wait for it counts like that for a slot. Limits and their ends go with the reports. Reports say whether their daemon is stopping, so that it keeps no part.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -174,7 +174,9 @@
 	d.counters = fair.NewCounters(fair.Options{HomeIncarnation: incarnation})
 	d.window = fair.NewWindow(d.liveDaemons)
 	d.relay = backend.NewRelay(d.platform.ServerCodec)
-	d.pool = place.NewPool(ctx, place.Options{Zone: s.Zone, Shares: d.counters, Window: d.window, LiveDaemons: d.liveDaemons})
+	d.pool = place.NewPool(ctx, place.Options{
+		Name: s.Name, Zone: s.Zone, Shares: d.counters, Window: d.window, LiveDaemons: d.liveDaemons, Members: d.otherMembers,
+	})
 	d.serverList = inventory.NewServerList(d.pool, d.platform.ParseServer, d.journal)
 	peers, err := conn.Listen(ctx, s.PeerAddress)
 	if err != nil {
@@ -202,6 +204,14 @@
 	return 1
 }
 
+// otherMembers returns the other daemons that take calls.
+func (d *Daemon) otherMembers() []place.Member {
+	if m := d.mesh.Load(); m != nil {
+		return m.Members()
+	}
+	return nil
+}
+
 // knownDaemons returns the number of daemons that may draw on the budgets that
 // all daemons share. It includes known daemons that cannot be reached now,
 // because they may still be at work behind a partition.
@@ -306,7 +316,7 @@
 // part of it only if charges is true, suspicions when they change and each
 // suspicionsPeriod. It is not safe for concurrent use.
 func (d *Daemon) exportReport(charges bool) exchange.Report {
-	r := exchange.Report{Place: d.pool.Export(), Suspicions: d.suspects.ExportChanges()}
+	r := exchange.Report{Place: d.pool.Export(), Suspicions: d.suspects.ExportChanges(), Draining: d.leaving.Load()}
 	if charges {
 		if c := d.counters.Export(); len(c.Rows) > 0 {
 			r.Charges = &c
--- a/edge/limit_test.go
+++ b/edge/limit_test.go
@@ -53,32 +53,37 @@
 }
 
 // Guards against a server that gets several times the limit that it named, because no
-// daemon reads it, or because each keeps it for itself.
+// daemon reads it, or because each keeps it for itself, and against one that gets much
+// less than it takes, or gets no calls after the limit has ended.
 func TestLimitOfAServerHoldsForAllDaemons(t *testing.T) {
 	const limit = 3.0
-	r := newRig(t, withDaemons(4), withEngines(3))
-	limited := r.engines[0]
-	limited.SetLimit("3")
+	is := is.New(t)
+	r := newRig(t, withDaemons(4), withEngines(2))
+	for _, s := range r.engines {
+		s.SetLimit("3")
+	}
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(t.Context(), contactTime+2*limitSpan)
 	defer cancel()
 	r.load(ctx, 10*time.Millisecond, func() stub.Call { return r.prompt("/stream/x") })
-	is := is.New(t)
 	allowed := 1.5*limit*limitSpan.Seconds() + 5
-	is.True(float64(mostArrivals(limited.Arrivals(), start.Add(contactTime), limitSpan)) <= allowed)
-	// The server still gets most of what it takes.
-	after := 0
-	for _, a := range limited.Arrivals() {
-		if a.At.After(start.Add(contactTime)) {
-			after++
+	for _, s := range r.engines {
+		after := 0
+		for _, a := range s.Arrivals() {
+			if a.At.After(start.Add(contactTime)) {
+				after++
+			}
 		}
+		t.Logf("%d arrivals in %v at a limit of %g a second", after, 2*limitSpan, limit)
+		is.True(float64(mostArrivals(s.Arrivals(), start.Add(contactTime), limitSpan)) <= allowed)
+		is.True(float64(after) >= limit*limitSpan.Seconds()) // half of what it takes
+		s.SetLimit("")
 	}
-	is.True(float64(after) >= limit*limitSpan.Seconds())
-	// Once it names no limit any more, it gets calls as before.
-	limited.SetLimit("")
+	ended := time.Now()
 	ctx, cancel = context.WithTimeout(t.Context(), contactTime+limitSpan)
 	defer cancel()
-	ended := time.Now()
 	r.load(ctx, 10*time.Millisecond, func() stub.Call { return r.prompt("/stream/x") })
-	is.True(float64(mostArrivals(limited.Arrivals(), ended.Add(contactTime), limitSpan)) > allowed)
+	for _, s := range r.engines {
+		is.True(float64(mostArrivals(s.Arrivals(), ended.Add(contactTime), limitSpan)) > allowed)
+	}
 }
--- a/exchange/columns.go
+++ b/exchange/columns.go
@@ -26,11 +26,13 @@
 	_                       struct{} `cbor:",toarray"`
 	From, Zone, Incarnation int64
 	Sequence, MaxIntervalMs int64
+	Draining                bool
 	// Loads has loadFields numbers a row: server, running, unread and memory tokens.
 	Loads numbers
 	// Sent has sentFields numbers a row: server, part, tokens.
 	Sent    numbers
 	Leaving []place.LeavingServer
+	Limits  []place.ServerLimit
 	Charges *chargeColumns
 	// Totals has totalsFields numbers a row: workspace, demand, service, whether the
 	// workspace is throttled, recent demand and recent service.
@@ -139,7 +141,8 @@
 func newReportColumns(n *nameIndex, r Report) reportColumns {
 	c := reportColumns{
 		From: n.index(r.From), Zone: n.index(r.Zone), Incarnation: n.index(r.Incarnation),
-		Sequence: r.Sequence, MaxIntervalMs: r.MaxIntervalMs, Leaving: r.Place.Leaving, Suspicions: r.Suspicions,
+		Sequence: r.Sequence, MaxIntervalMs: r.MaxIntervalMs, Draining: r.Draining,
+		Leaving: r.Place.Leaving, Limits: r.Place.Limits, Suspicions: r.Suspicions,
 	}
 	for _, x := range r.Place.Loads {
 		c.Loads = c.Loads.with(n.index(x.Server), int64(x.Running), int64(x.UnreadTokens), int64(x.MemoryTokens))
@@ -190,9 +193,9 @@
 	}
 	r := Report{
 		From: names[c.From], Zone: names[c.Zone], Incarnation: names[c.Incarnation],
-		Sequence: c.Sequence, MaxIntervalMs: c.MaxIntervalMs, Suspicions: c.Suspicions,
+		Sequence: c.Sequence, MaxIntervalMs: c.MaxIntervalMs, Draining: c.Draining, Suspicions: c.Suspicions,
 	}
-	r.Place.Leaving = c.Leaving
+	r.Place.Leaving, r.Place.Limits = c.Leaving, c.Limits
 	r.Place.Loads = slices.Grow(r.Place.Loads, c.Loads.rows(loadFields))
 	err := c.Loads.eachRow(loadFields, 1, len(names), func(x []int64) {
 		r.Place.Loads = append(r.Place.Loads, place.ServerLoad{Server: names[x[0]], Running: int(x[1]), UnreadTokens: int(x[2]), MemoryTokens: int(x[3])})
--- a/exchange/merge.go
+++ b/exchange/merge.go
@@ -13,6 +13,7 @@
 // workspace replaces the earlier one.
 func (r Report) WithNext(next Report) Report {
 	r.From, r.Zone, r.Incarnation, r.Sequence, r.MaxIntervalMs = next.From, next.Zone, next.Incarnation, next.Sequence, next.MaxIntervalMs
+	r.Draining = next.Draining
 	r.Place = r.Place.WithNext(next.Place)
 	r.Charges = mergeCharges(r.Charges, next.Charges)
 	r.Totals = latestRows(r.Totals, next.Totals, func(a, b fair.WorkspaceTotals) int { return cmp.Compare(a.Workspace, b.Workspace) })
--- a/exchange/mesh.go
+++ b/exchange/mesh.go
@@ -12,6 +12,7 @@
 
 	"github.com/wigeonladder/wigeonladder"
 	"github.com/wigeonladder/wigeonladder/inventory"
+	"github.com/wigeonladder/wigeonladder/place"
 )
 
 const (
@@ -126,6 +127,20 @@
 	return n
 }
 
+// Members returns the other daemons with a valid report that are not stopping.
+func (m *Mesh) Members() []place.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var l []place.Member
+	now := time.Now()
+	for name, o := range m.origins {
+		if now.Before(o.validUntil) && !o.draining {
+			l = append(l, place.Member{Name: name, Zone: o.zone})
+		}
+	}
+	return l
+}
+
 // PeerAddresses returns the addresses of the daemons that this one connects to,
 // sorted.
 func (m *Mesh) PeerAddresses() []string {
@@ -243,7 +258,7 @@
 		return false
 	}
 	sameZone := m.isInZone(r, method == methodReport)
-	m.origins[r.From] = origin{incarnation: r.Incarnation, sequence: r.Sequence, validUntil: now.Add(r.Lifetime()), sameZone: sameZone}
+	m.origins[r.From] = origin{incarnation: r.Incarnation, sequence: r.Sequence, validUntil: now.Add(r.Lifetime()), sameZone: sameZone, zone: r.Zone, draining: r.Draining}
 	if sameZone {
 		m.holdForRelay(r)
 	}
--- a/exchange/mesh_test.go
+++ b/exchange/mesh_test.go
@@ -332,3 +332,25 @@
 	is.Equal(Report{}.WithNext(a), a)
 	is.Equal(a.WithNext(Report{From: "f", Incarnation: "i", Sequence: 3, MaxIntervalMs: 4}).Sequence, int64(3))
 }
+
+// Guards against parts of limits that are given to daemons which are stopping or were
+// not heard for a time.
+func TestMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := &Mesh{
+			options: Options{Self: Member{Name: "self"}, Import: func(Report) {}, Journal: discardJournal{}},
+			origins: map[string]origin{}, pendingRelay: map[string]Report{}, pendingUp: map[string]Report{}, pendingDown: map[string]Report{},
+		}
+		report := func(name string, sequence int64, draining bool) {
+			m.importReport(Report{From: name, Zone: "z", Incarnation: "i", Sequence: sequence, MaxIntervalMs: 400, Draining: draining}, methodReport)
+		}
+		report("a", 1, false)
+		report("b", 1, true)
+		is.Equal(m.Members(), []place.Member{{Name: "a", Zone: "z"}})
+		report("b", 2, false)
+		is.Equal(len(m.Members()), 2)
+		time.Sleep(lifetimeMin)
+		is.Equal(len(m.Members()), 0)
+	})
+}
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -42,8 +42,9 @@
 	KnownAddresses []string `json:"k"`
 	// Passes is true if the daemon passes the reports of others on.
 	Passes bool `json:"p,omitempty"`
-	// Columns is true if the daemon reads reports in columns.
-	Columns bool `json:"c,omitempty"`
+	// Columns is true if the daemon reads reports in columns of this version. Earlier
+	// ones had the key c.
+	Columns bool `json:"d,omitempty"`
 	// Feeds is true if the daemon offers to others what it reads from the store.
 	Feeds bool `json:"f,omitempty"`
 }
@@ -70,9 +71,11 @@
 	// Sequence numbers the reports of one incarnation in ascending order.
 	Sequence int64 `json:"k"`
 	// MaxIntervalMs is the longest time between two reports in milliseconds.
-	MaxIntervalMs int64                      `json:"e"`
-	Place         place.Report               `json:"p"`
-	Charges       *wigeonladder.ChargeReport `json:"c,omitempty"`
+	MaxIntervalMs int64 `json:"e"`
+	// Draining is true if the daemon is stopping and takes no calls soon.
+	Draining bool                       `json:"d,omitempty"`
+	Place    place.Report               `json:"p"`
+	Charges  *wigeonladder.ChargeReport `json:"c,omitempty"`
 	// Totals are the totals of the workspaces whose totals changed.
 	Totals     []fair.WorkspaceTotals   `json:"t,omitempty"`
 	Suspicions []wigeonladder.Suspicion `json:"s,omitempty"`
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -15,6 +15,10 @@
 	validUntil time.Time
 	// sameZone is true for a daemon of this zone.
 	sameZone bool
+	// zone is that of the daemon, empty if its reports do not name it. draining is
+	// true while it stops.
+	zone     string
+	draining bool
 }
 
 // relay sends the reports of this zone to one daemon of each other zone, which
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -228,10 +228,19 @@
 	}
 }
 
-// recordLimit records the limit that the head of an answer states.
+// recordLimit records the limit that the head of an answer names. Only the answer of
+// the server to this call, whose sending is known, shows that a limit has ended.
 func (r *callRun) recordLimit(i wigeonladder.Instance, h backend.AnswerHead) {
-	if h.HasLimit {
-		r.note("server_limit", "server", i.ID, "status", h.Status, "limit", h.Limit)
+	pool := r.forwarder.options.Pool
+	switch {
+	case h.HasLimit:
+		if pool.RecordLimit(i, h.Limit) {
+			r.note("server_limit", "server", i.ID, "status", h.Status, "limit", h.Limit)
+		}
+	case h.ID == r.call.ID && h.Signed && !h.NotRun:
+		if pool.RecordNoLimit(i, r.sentAt) {
+			r.note("server_limit_ended", "server", i.ID, "status", h.Status)
+		}
 	}
 }
 
--- a/place/availability.go
+++ b/place/availability.go
@@ -26,12 +26,15 @@
 	Blocked
 	// Probing means that a call tries whether the server can be reached again.
 	Probing
+	// Limited means that the server named a limit for all daemons, of which this one
+	// has no part, or has used it.
+	Limited
 
 	unavailabilities
 )
 
 // unavailabilityNames are the names of the reasons in logs and dumps.
-var unavailabilityNames = [unavailabilities]string{"", "leaving", "reported_leaving", "paused", "unreachable", "probing"}
+var unavailabilityNames = [unavailabilities]string{"", "leaving", "reported_leaving", "paused", "unreachable", "probing", "limited"}
 
 // String returns the name of the reason; an empty string for Available.
 func (u Unavailability) String() string { return unavailabilityNames[u] }
@@ -66,6 +69,7 @@
 	leaving       bool
 	reportedUntil time.Time
 	pausedUntil   time.Time
+	limit         limit
 }
 
 // notices keeps the notices of the incarnations that gave one most recently.
@@ -163,6 +167,8 @@
 		return Paused
 	case now.Before(n.reportedUntil):
 		return ReportedLeaving
+	case s.part.watched && s.part.rate == 0:
+		return Limited
 	}
 	return Available
 }
@@ -181,6 +187,19 @@
 	return Available
 }
 
+// occupancy returns the reason for which the server gets no request now, which may be
+// over in a moment: a job can wait until this daemon's part of a limit allows another
+// call.
+func (s *server) occupancy(now time.Time) Unavailability {
+	if u := s.unavailability(now); u != Available {
+		return u
+	}
+	if s.part.wait(0, now) > 0 {
+		return Limited
+	}
+	return Available
+}
+
 // available reports whether the server may get a request now.
 func (s *server) available(now time.Time) bool { return s.unavailability(now) == Available }
 
@@ -188,7 +207,7 @@
 // false if that is not known.
 func (s *server) timeLeft(now time.Time) (time.Duration, bool) {
 	switch s.unavailability(now) {
-	case Leaving:
+	case Leaving, Limited:
 		return 0, false
 	case ReportedLeaving:
 		return s.notice.reportedUntil.Sub(now), true
--- a/place/choose.go
+++ b/place/choose.go
@@ -40,8 +40,8 @@
 	uncachedTokens int
 	// wait is the expected time until the server has read the prompts that were
 	// sent to it before, firstToken the expected time to the first token.
-	// slotWait is the expected time until a slot of the server is free. Candidates
-	// are ordered by rank, lowest first.
+	// slotWait is the expected time until a slot of the server is free and its limit
+	// allows the job. Candidates are ordered by rank, lowest first.
 	wait, slotWait, firstToken, rank time.Duration
 }
 
@@ -116,7 +116,7 @@
 		queued -= j.queuedTokens
 		queuedJobs--
 	}
-	o.slotWait = s.slotWait(queuedJobs)
+	o.slotWait = max(s.slotWait(queuedJobs), s.part.wait(queuedJobs, now))
 	read := time.Duration(readTime(uncached) * s.latencyRatio)
 	o.firstToken = o.wait + read
 	if s.engine != nil {
@@ -138,6 +138,9 @@
 // hasRoom reports whether a job may be sent to a server now. A workspace that
 // has received its share gets only spare capacity.
 func (p *Pool) hasRoom(g *serviceState, s *server, wait time.Duration, j *Job, standing fair.Standing) bool {
+	if s.part.wait(0, time.Now()) > 0 {
+		return false
+	}
 	l := s.total()
 	if s.engine == nil {
 		return l.running < s.slots()+spareCalls
@@ -183,6 +186,7 @@
 		load:   load{1, o.uncachedTokens, j.memoryTokens()},
 		sentAt: now, Unavailable: g.recentSummary(now).unavailable.String(),
 	}
+	s.part.take(now)
 	s.own = s.own.add(l.load)
 	p.used[s] = struct{}{}
 	p.unread[l] = struct{}{}
--- a/place/dump.go
+++ b/place/dump.go
@@ -34,6 +34,10 @@
 	// does. TimeLeft is the time until it is expected to take calls again.
 	Unavailable string        `json:"unavailable,omitempty"`
 	TimeLeft    time.Duration `json:"left,omitempty"`
+	// Limit is the number of requests a second that the server takes from all daemons,
+	// if it named one, and LimitPart the number that this daemon may send.
+	Limit     float64 `json:"limit,omitempty"`
+	LimitPart float64 `json:"part,omitempty"`
 	// Waiting is the number of calls that wait in this daemon for the service.
 	Waiting int `json:"waiting"`
 }
@@ -51,7 +55,10 @@
 				Service: g.name, Server: s.instance.ID, Zone: s.instance.Zone, Leaving: s.instance.Leaving,
 				Running: s.own.running, Total: l.running, UnreadTokens: l.unreadTokens, LatencyRatio: s.latencyRatio,
 				FailureRate: s.currentFailureRate(now), Blocked: now.Before(s.blockedUntil), Waiting: g.waiting,
-				Unavailable: s.unavailability(now).String(),
+				Unavailable: s.occupancy(now).String(),
+			}
+			if s.part.watched {
+				r.Limit, r.LimitPart = s.notice.limit.perSecond, s.part.rate
 			}
 			r.TimeLeft, _ = s.timeLeft(now)
 			if s.cache != nil {
--- a/place/pool.go
+++ b/place/pool.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -15,8 +16,8 @@
 
 // Options configures a Pool.
 type Options struct {
-	// Zone is the zone of this daemon.
-	Zone string
+	// Name and Zone are those of this daemon.
+	Name, Zone string
 	// Shares orders the workspaces whose calls wait. Without it their order is
 	// random.
 	Shares wigeonladder.FairShares
@@ -26,6 +27,8 @@
 	// LiveDaemons returns the number of live daemons, including this one.
 	// Without it there is one.
 	LiveDaemons func() int
+	// Members returns the other daemons that take calls; nil for none.
+	Members func() []Member
 }
 
 // Pool places calls on backend servers. It is safe for concurrent use.
@@ -45,7 +48,14 @@
 	// leaving contains the servers that said since the last report that they leave.
 	leaving []LeavingServer
 	notices notices
-	remote  *remoteDaemons
+	// limited contains the servers with a limit in force, which was divided at
+	// dividedAt. limitReports contains what the next report says of limits.
+	// limitLifetime differs between daemons.
+	limited       []*server
+	dividedAt     time.Time
+	limitReports  []ServerLimit
+	limitLifetime time.Duration
+	remote        *remoteDaemons
 	// unread contains the leases whose first token has not arrived.
 	unread map[*Lease]struct{}
 	// sweptAt is when sweep last ran, or the start; maxSweepDelay by how much one of its runs
@@ -87,7 +97,8 @@
 	}
 	p := &Pool{
 		options: o, services: map[string]*serviceState{}, servers: map[string]*server{}, used: map[*server]struct{}{}, notices: notices{byIncarnation: map[incarnation]*notice{}},
-		remote: newRemoteDaemons(), unread: map[*Lease]struct{}{}, sweptAt: time.Now(),
+		limitLifetime: limitLifetime + rand.N(limitLifetime/2), // #nosec G404
+		remote:        newRemoteDaemons(), unread: map[*Lease]struct{}{}, sweptAt: time.Now(),
 	}
 	go func() {
 		t := time.NewTicker(sweepPeriod)
@@ -144,6 +155,7 @@
 		s := newServer(i, g.engine, &g.runTime)
 		s.notice = p.notices.byIncarnation[incarnationOf(i)]
 		g.servers[i.ID] = s
+		p.watchLimit(s, time.Now())
 	}
 	p.servers[i.ID] = g.servers[i.ID]
 	g.sort()
--- a/place/preferred.go
+++ b/place/preferred.go
@@ -1,6 +1,10 @@
 package place
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	// preferredCount is the number of preferred servers of an affinity key. The
@@ -77,3 +81,6 @@
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+// nameHash returns the hash of the name of a server or of a daemon.
+func nameHash(name string) uint64 { return xxhash.Sum64String(name) }
--- a/place/queue.go
+++ b/place/queue.go
@@ -266,7 +266,7 @@
 	}
 	servers := g.recentSummary(time.Now()).unavailable[Available]
 	if servers == 0 {
-		return retryDelayMax
+		return min(max(g.limitWait(), retryDelayMin), retryDelayMax)
 	}
 	t := time.Duration(readTime(g.waitingTokens*p.options.LiveDaemons()) / float64(servers))
 	return min(max(t, share, retryDelayMin), retryDelayMax)
@@ -280,6 +280,7 @@
 	now := time.Now()
 	p.recordSweep(now)
 	p.remote.expire(now)
+	p.updateLimits(now)
 	if !p.isLate(now) {
 		p.recordSilence(now)
 	}
--- a/place/report.go
+++ b/place/report.go
@@ -33,21 +33,27 @@
 	Sent  []SentPart   `json:"p,omitempty"`
 	// Leaving contains the servers that said since the last report that they leave.
 	Leaving []LeavingServer `json:"g,omitempty"`
+	// Limits contains the limits that servers named since the last report.
+	Limits []ServerLimit `json:"m,omitempty"`
 }
 
 // IsEmpty reports whether the report tells nothing.
 func (r Report) IsEmpty() bool {
-	return len(r.Loads) == 0 && len(r.Sent) == 0 && len(r.Leaving) == 0
+	return len(r.Loads) == 0 && len(r.Sent) == 0 && len(r.Leaving) == 0 && len(r.Limits) == 0
 }
 
 // WithNext merges this report with a later one of the same daemon.
 func (r Report) WithNext(next Report) Report {
 	sent := slices.Concat(r.Sent, next.Sent)
 	leaving := slices.Concat(r.Leaving, next.Leaving)
-	return Report{Loads: next.Loads, Sent: sent[max(len(sent)-maxSent, 0):], Leaving: leaving[max(len(leaving)-maxSent, 0):]}
+	limits := slices.Concat(r.Limits, next.Limits)
+	return Report{
+		Loads: next.Loads, Sent: sent[max(len(sent)-maxSent, 0):], Leaving: leaving[max(len(leaving)-maxSent, 0):],
+		Limits: limits[max(len(limits)-maxSent, 0):],
+	}
 }
 
-// maxSent bounds the number of sent parts and that of leaving servers in one report.
+// maxSent bounds the numbers of sent parts, leaving servers and limits in one report.
 const maxSent = 1000
 
 // recordSentParts adds the shared parts of a job to the next report.
@@ -60,12 +66,13 @@
 }
 
 // Export returns the loads that this daemon puts on servers, the parts that it has
-// sent since the last export, and the servers that said since then that they leave.
+// sent since the last export, and the servers that said since then that they leave or
+// take a limited number of requests.
 func (p *Pool) Export() Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := Report{Sent: p.sentParts, Leaving: p.leaving}
-	p.sentParts, p.leaving = nil, nil
+	r := Report{Sent: p.sentParts, Leaving: p.leaving, Limits: p.limitReports}
+	p.sentParts, p.leaving, p.limitReports = nil, nil, nil
 	for s := range p.used {
 		if p.servers[s.instance.ID] == s {
 			r.Loads = append(r.Loads, ServerLoad{s.instance.ID, s.own.running, s.own.unreadTokens, s.own.memoryTokens})
@@ -83,6 +90,9 @@
 	for _, l := range r.Leaving {
 		p.recordReportedLeaving(l, now)
 	}
+	for _, l := range r.Limits {
+		p.importLimit(l, now)
+	}
 	for _, x := range r.Sent {
 		if s := p.servers[x.Server]; s != nil && s.cache != nil {
 			s.cache.touch(x.Part, max(x.Tokens, 0))
--- a/place/server.go
+++ b/place/server.go
@@ -4,8 +4,6 @@
 	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/wigeonladder/wigeonladder"
 	"github.com/wigeonladder/wigeonladder/route"
 )
@@ -81,6 +79,8 @@
 	heardAt time.Time
 	// notice is what was said about calls to this incarnation; nil for nothing.
 	notice *notice
+	// part is this daemon's part of the limit that the server named.
+	part limitPart
 	// queuedTokens is the number of prompt tokens of the jobs that wait in this
 	// daemon for the server, queuedJobs the number of these jobs.
 	queuedTokens, queuedJobs int
@@ -122,7 +122,7 @@
 func newServer(i wigeonladder.Instance, e *route.Engine, r *runTime) *server {
 	s := &server{
 		instance: i, latencyRatio: 1, runTime: r,
-		hash: xxhash.Sum64String(i.ID),
+		hash: nameHash(i.ID),
 	}
 	s.setEngine(e)
 	return s
--- a/place/summary.go
+++ b/place/summary.go
@@ -19,9 +19,8 @@
 func (g *serviceState) summarize(now time.Time) serviceSummary {
 	var x serviceSummary
 	for _, s := range g.order {
-		u := s.unavailability(now)
-		x.unavailable[u]++
-		if u == Available {
+		x.unavailable[s.occupancy(now)]++
+		if s.available(now) {
 			x.running += s.total().running
 			x.slots += s.slots()
 		}
