exchange, edge: a daemon that starts knows what crashes servers before it takes calls

Cause: suspicions in full go with one report a second; a restarted daemon takes calls before it has had one.

Change: the answer to a hello holds the suspicions, and the limits of servers, that a daemon knows; a daemon is ready only after the first such answer, or a second after its start. A daemon that returns from a partition learns them in the same way.

--- a/edge/crash_test.go
+++ b/edge/crash_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/wigeonladder/wigeonladder/platform/stub"
+	"github.com/wigeonladder/wigeonladder/setting"
 )
 
 // crashingPart is the prompt part under which the servers of crashRig crash.
@@ -92,3 +93,22 @@
 		})
 	}
 }
+
+// Guards against a daemon that starts and loses servers of its own before it refuses a
+// part that the other daemons have quarantined.
+func TestNewDaemonKnowsQuarantinedParts(t *testing.T) {
+	is := is.New(t)
+	r := crashRig(t, 10)
+	for i := range 10 {
+		r.doAt(i%2, r.prompt("/stream/x", "first", crashingPart))
+	}
+	before := r.tainted()
+	for range 3 {
+		n := len(r.daemons)
+		r.startDaemon(setting.DefaultEdge(), n, []string{r.peerAddresses[0], r.peerAddresses[1]})
+		r.eventually("the new daemon is ready", func() bool { return stub.Ready(t.Context(), r.readinessAddresses[n]) })
+		c := r.prompt("/stream/x", "first", crashingPart)
+		r.wantNotRun(c, r.doAt(n, c))
+	}
+	is.Equal(r.tainted(), before)
+}
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -44,6 +45,9 @@
 	// keyTrustMargin is subtracted from the time for which API keys are trusted.
 	// It covers a watch that reports a change as much as a second late.
 	keyTrustMargin = 1300 * time.Millisecond
+	// learnTimeout is the time after the start from which a daemon takes calls without
+	// having heard from another one.
+	learnTimeout = time.Second
 	// suspicionsPeriod is the time between two reports with all suspicions, from which
 	// a restarted daemon, or one that was cut off, learns them.
 	suspicionsPeriod = time.Second
@@ -138,6 +142,9 @@
 	front            *front.Server
 	seeds            atomic.Pointer[[]string]
 	leaving          atomic.Bool
+	// learned is true once another daemon has answered, startedAt the time of the start.
+	learned   atomic.Bool
+	startedAt time.Time
 	// storeRelayed is true while another daemon reads the store for this one.
 	storeRelayed atomic.Bool
 	cancel       context.CancelFunc
@@ -150,7 +157,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	d := &Daemon{
 		settings: o.Settings, platform: o.NewPlatform(dial), journal: operator.NewJournal(o.Log),
-		meter: NewMeter(), suspects: retry.NewSuspects(), cancel: cancel,
+		meter: NewMeter(), suspects: retry.NewSuspects(), cancel: cancel, startedAt: time.Now(),
 	}
 	d.seeds.Store(&o.Settings.Seeds)
 	if err := d.start(ctx); err != nil {
@@ -186,7 +193,7 @@
 	d.mesh.Store(exchange.New(ctx, exchange.Options{
 		Self:     exchange.Member{Name: s.Name, Zone: s.Zone, Address: s.PeerAddress, Incarnation: incarnation},
 		Listener: peers, Dial: dial, Seeds: func() []string { return *d.seeds.Load() },
-		Export: d.exportReport, Import: d.importReport, Feed: feed, Journal: d.journal,
+		Export: d.exportReport, Import: d.importReport, Known: d.known, Learn: d.learn, Feed: feed, Journal: d.journal,
 	}))
 	d.followStore(ctx, feed)
 	if err := d.serveCallers(ctx); err != nil {
@@ -307,9 +314,31 @@
 }
 
 // Ready reports whether callers may be sent to this daemon: it has a
-// configuration whose API keys it may trust, and it is not stopping.
+// configuration whose API keys it may trust, it is not stopping, and it has had the
+// time to learn from another daemon which calls crash servers.
 func (d *Daemon) Ready() bool {
-	return !d.leaving.Load() && d.tableStore.Table() != nil && d.tableStore.KeysTrusted()
+	return !d.leaving.Load() && d.tableStore.Table() != nil && d.tableStore.KeysTrusted() && d.hasLearned()
+}
+
+// hasLearned reports whether another daemon has answered since the start, or none is
+// expected to.
+func (d *Daemon) hasLearned() bool {
+	if d.learned.Load() || time.Since(d.startedAt) >= learnTimeout {
+		return true
+	}
+	return !slices.ContainsFunc(*d.seeds.Load(), func(a string) bool { return a != d.settings.PeerAddress })
+}
+
+// known returns what a daemon that connects has to know before it takes calls.
+func (d *Daemon) known() exchange.Report {
+	return exchange.Report{Suspicions: d.suspects.Export(), Place: place.Report{Limits: d.pool.Limits()}}
+}
+
+// learn applies what another daemon knows.
+func (d *Daemon) learn(r exchange.Report) {
+	d.suspects.Import(r.Suspicions)
+	d.pool.ImportLimits(r.Place.Limits)
+	d.learned.Store(true)
 }
 
 // exportReport returns the next report to the other daemons. Charges and totals are
--- a/edge/rig_test.go
+++ b/edge/rig_test.go
@@ -41,6 +41,7 @@
 	daemons            []*edge.Daemon
 	callerAddresses    []string
 	readinessAddresses []string
+	peerAddresses      []string
 	caller             *stub.Caller
 	ids                atomic.Int64
 	config             route.Document
@@ -125,6 +126,7 @@
 	r.daemons = append(r.daemons, d)
 	r.callerAddresses = append(r.callerAddresses, s.CallerAddress)
 	r.readinessAddresses = append(r.readinessAddresses, s.ReadinessAddress)
+	r.peerAddresses = append(r.peerAddresses, s.PeerAddress)
 	return append(seeds, s.PeerAddress)
 }
 
--- a/exchange/mesh.go
+++ b/exchange/mesh.go
@@ -61,6 +61,11 @@
 	Export func(charges bool) Report
 	// Import applies the report of another daemon.
 	Import func(r Report)
+	// Known returns what another daemon has to know before it takes calls, such as one
+	// that has just started. Learn applies what another daemon returned. Both may be
+	// nil.
+	Known func() Report
+	Learn func(r Report)
 	// Feed offers what this daemon reads from the store to the daemons of its zone;
 	// nil for none.
 	Feed    *inventory.Feed
@@ -213,7 +218,12 @@
 		}
 		known := append(m.PeerAddresses(), m.options.Self.Address)
 		m.addPeer(v.Address)
-		return HelloReply{Self: m.options.Self, KnownAddresses: known, Passes: true, Columns: true, Feeds: m.options.Feed != nil}, nil
+		reply := HelloReply{Self: m.options.Self, KnownAddresses: known, Passes: true, Columns: true, Feeds: m.options.Feed != nil}
+		if m.options.Known != nil {
+			r := m.options.Known()
+			reply.Known = &r
+		}
+		return reply, nil
 	case methodWatch:
 		return m.handleWatch(ctx, *q.Params)
 	case methodReport, methodRelay, methodRelayed, methodPass:
@@ -279,6 +289,9 @@
 	p.zone, p.name, p.passes, p.columns = reply.Self.Zone, reply.Self.Name, reply.Passes, reply.Columns
 	p.connected, p.connectedAt = true, time.Now()
 	m.mu.Unlock()
+	if m.options.Learn != nil && reply.Known != nil {
+		m.options.Learn(*reply.Known)
+	}
 	for _, a := range reply.KnownAddresses {
 		m.addPeer(a)
 	}
--- a/exchange/mesh_test.go
+++ b/exchange/mesh_test.go
@@ -354,3 +354,32 @@
 		is.Equal(len(m.Members()), 0)
 	})
 }
+
+// Guards against a daemon that starts, or returns from a partition, and takes calls
+// before it knows what the others know.
+func TestNewConnectionsTellWhatIsKnown(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, x *network) {
+		is := is.New(t)
+		learned := make(chan Report, 10)
+		known := func() Report { return Report{Suspicions: []wigeonladder.Suspicion{{Fingerprint: 7}}} }
+		options := func(name string, seeds ...string) Options {
+			return Options{
+				Self: Member{Name: name, Address: name, Incarnation: name}, Export: func(bool) Report { return Report{} },
+				Seeds: func() []string { return seeds },
+			}
+		}
+		first := options("a")
+		first.Known = known
+		x.addWith(ctx, first)
+		second := options("b", "a")
+		second.Learn = func(r Report) { learned <- r }
+		x.addWith(ctx, second)
+		start := time.Now()
+		is.Equal((<-learned).Suspicions, known().Suspicions)
+		is.True(time.Since(start) <= 2*reportPeriod)
+		x.isolate("b", true)
+		time.Sleep(time.Second)
+		x.isolate("b", false)
+		is.Equal((<-learned).Suspicions, known().Suspicions)
+	})
+}
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -47,6 +47,8 @@
 	Columns bool `json:"d,omitempty"`
 	// Feeds is true if the daemon offers to others what it reads from the store.
 	Feeds bool `json:"f,omitempty"`
+	// Known is what a daemon has to know before it takes calls; nil for nothing.
+	Known *Report `json:"w,omitempty"`
 }
 
 // Lifetime returns how long a report is valid: until the next three reports
--- a/place/limit.go
+++ b/place/limit.go
@@ -119,15 +119,44 @@
 // reportLimit adds the limit, or its end, to the next report.
 func (p *Pool) reportLimit(i wigeonladder.Instance, n *notice, now time.Time) {
 	n.limit.reportedAt = now
-	at := n.limit.namedAt
-	if !n.limit.named {
-		at = n.limit.endedAt
-	}
 	if len(p.limitReports) < maxSent {
-		p.limitReports = append(p.limitReports, ServerLimit{
-			Server: i.ID, StartUnixMs: i.StartUnixMs, Address: i.Address,
-			PerSecond: n.limit.perSecond, Ended: !n.limit.named, AgeMs: now.Sub(at).Milliseconds(),
-		})
+		p.limitReports = append(p.limitReports, n.limit.report(i, now))
+	}
+}
+
+// report returns the limit of a server, or its end, as other daemons get it.
+func (l *limit) report(i wigeonladder.Instance, now time.Time) ServerLimit {
+	at := l.namedAt
+	if !l.named {
+		at = l.endedAt
+	}
+	return ServerLimit{
+		Server: i.ID, StartUnixMs: i.StartUnixMs, Address: i.Address,
+		PerSecond: l.perSecond, Ended: !l.named, AgeMs: now.Sub(at).Milliseconds(),
+	}
+}
+
+// Limits returns the limits in force.
+func (p *Pool) Limits() []ServerLimit {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	l := make([]ServerLimit, 0, len(p.limited))
+	for _, s := range p.limited {
+		if n := s.notice; n.limit.named {
+			l = append(l, n.limit.report(s.instance, now))
+		}
+	}
+	return l
+}
+
+// ImportLimits applies the limits that another daemon knows.
+func (p *Pool) ImportLimits(l []ServerLimit) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for _, x := range l {
+		p.importLimit(x, now)
 	}
 }
 
