place: a workspace that has used its share is refused with 429

Cause: a caller cannot tell these refusals from those of a service that is short of capacity for everybody: both are 503. Callers of the workspace would have room if it sent less, which is what 429 says.

Change: refusals of a workspace above its share have a code of their own, 209 share_used, with status 429; one within its share still gets 207 and 503. What is refused, and when, is unchanged.

--- a/code.go
+++ b/code.go
@@ -50,6 +50,7 @@
 	CodeContractLate Code = 206 // the contract was used too late
 	CodeOverload     Code = 207 // the call waited, or would wait, too long for a backend server
 	CodeStale        Code = 208 // the configuration is too old to trust keys
+	CodeShareUsed    Code = 209 // the workspace has used its share, and nothing is spare
 
 	CodeConnect    Code = 301 // no connection to the backend server; nothing was sent
 	CodeRefused    Code = 302 // the backend server refused before running
@@ -101,6 +102,7 @@
 	CodeContractLate:    {"contract_late", NotRun, 503},
 	CodeOverload:        {"overload", NotRun, 503},
 	CodeStale:           {"stale", NotRun, 503},
+	CodeShareUsed:       {"share_used", NotRun, 429},
 	CodeConnect:         {"connect", NotRun, 502},
 	CodeRefused:         {"refused", NotRun, 503},
 	CodeBroken:          {"broken", MayHaveRun, 502},
--- a/place/pool.go
+++ b/place/pool.go
@@ -288,7 +288,8 @@
 		return nil, wigeonladder.Errorf(wigeonladder.CodeCallerGone, j.ID, "the caller went while the call waited")
 	}
 	p.recordThrottled(g, j)
-	return nil, wigeonladder.Errorf(wigeonladder.CodeOverload, j.Service, "no room after %v; %d calls wait; the workspace is %v its share", time.Since(j.ArrivedAt).Round(time.Millisecond), g.waiting, p.standing(g, j)).
+	standing := p.standing(g, j)
+	return nil, wigeonladder.Errorf(overloadCode(standing), j.Service, "no room after %v; %d calls wait; the workspace is %v its share", time.Since(j.ArrivedAt).Round(time.Millisecond), g.waiting, standing).
 		WithRetryDelay(p.retryDelay(g, j))
 }
 
--- a/place/queue.go
+++ b/place/queue.go
@@ -202,10 +202,19 @@
 		}
 	case fair.Denied:
 	}
-	return wigeonladder.Errorf(wigeonladder.CodeOverload, g.name, "%d calls of the workspace wait; it is %v its share", len(g.queues[j.Workspace]), standing).
+	return wigeonladder.Errorf(overloadCode(standing), g.name, "%d calls of the workspace wait; it is %v its share", len(g.queues[j.Workspace]), standing).
 		WithRetryDelay(p.retryDelay(g, j))
 }
 
+// overloadCode returns the code of a refusal for want of room. A workspace that has
+// received its share is told so: sending less helps it, and the others have room.
+func overloadCode(s fair.Standing) wigeonladder.Code {
+	if s == fair.BelowShare {
+		return wigeonladder.CodeOverload
+	}
+	return wigeonladder.CodeShareUsed
+}
+
 // queueIsFull reports whether more calls of the workspace wait than this daemon
 // places in the time for which the job would wait.
 func (p *Pool) queueIsFull(g *serviceState, j *Job, now time.Time) bool {
@@ -231,11 +240,11 @@
 	// limit up to which it is sent calls of this workspace.
 	standing := p.standing(g, j)
 	if standing == fair.IdleOnly {
-		return wigeonladder.Errorf(wigeonladder.CodeOverload, g.name, "the best server does not idle; the workspace is %v its share", standing).WithRetryDelay(p.retryDelay(g, j))
+		return wigeonladder.Errorf(overloadCode(standing), g.name, "the best server does not idle; the workspace is %v its share", standing).WithRetryDelay(p.retryDelay(g, j))
 	}
 	expected := best.wait + best.slotWait + time.Duration(readTime(best.server.queuedTokens)*best.server.latencyRatio) - engineWaitLimit(standing)
 	if g.waiting >= maxWaiting || !now.Add(max(expected, 0)).Before(p.waitUntil(g, j)) {
-		return wigeonladder.Errorf(wigeonladder.CodeOverload, g.name, "%d calls wait", g.waiting).WithRetryDelay(p.retryDelay(g, j))
+		return wigeonladder.Errorf(overloadCode(standing), g.name, "%d calls wait; the workspace is %v its share", g.waiting, standing).WithRetryDelay(p.retryDelay(g, j))
 	}
 	return nil
 }
