--- a/front/overload_test.go
+++ b/front/overload_test.go
@@ -51,3 +51,27 @@
 	is.NoErr(err)
 	return resp.StatusCode
 }
+
+// Guards against callers whose calls were refused for want of room and who keep their
+// connections during a flood.
+func TestRefusalsForWantOfRoomEndConnections(t *testing.T) {
+	for _, x := range []struct {
+		code  wigeonladder.Code
+		close bool
+	}{{wigeonladder.CodeOverload, true}, {wigeonladder.CodeShareUsed, true}, {wigeonladder.CodeNoService, false}} {
+		t.Run(x.code.String(), func(t *testing.T) {
+			is := is.New(t)
+			_, address := serve(t, defaultLimits, func(_ context.Context, _ *wigeonladder.Call, w wigeonladder.Reply) {
+				w.Refuse(wigeonladder.Errorf(x.code, "", "refused"))
+			})
+			c, r := dial(t, address)
+			_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			is.NoErr(err)
+			resp, err := http.ReadResponse(r, nil)
+			is.NoErr(err)
+			defer resp.Body.Close()
+			is.Equal(resp.StatusCode, x.code.Info().Status)
+			is.Equal(resp.Close, x.close)
+		})
+	}
+}
--- a/front/reply.go
+++ b/front/reply.go
@@ -34,12 +34,13 @@
 	return nil
 }
 
-// Refuse implements wigeonladder.Reply. A refusal with status 503 closes the
+// Refuse implements wigeonladder.Reply. A refusal with status 503 or 429 closes the
 // connection: the call did not run, and its caller retries it on another
 // connection. Otherwise refused callers would hold all file descriptors during
 // a flood of calls.
 func (r *reply) Refuse(e *wigeonladder.Error) {
-	if e.Code.Info().Status == fasthttp.StatusServiceUnavailable {
+	switch e.Code.Info().Status {
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
 		r.ctx.SetConnectionClose()
 	}
 	r.server.o.Codec.WriteRefusal(&r.ctx.Response, r.call, e)
