forward, edge: a stopping daemon refuses calls that it would cut off

Report of another operator: in a planned stop, calls that came late in the grace were taken, passed on and cut off at its end, among them some that may not be repeated.

Here calls are taken for 3 s, and what is cut at the end gets an answer (front.TestCutCallsAreAnswered). But a call that may not be repeated and may take longer than the rest of the grace was sent and then answered 502, 'may have run', and a call that had waited could be sent moments before the end. With a grace of 4 s or less the daemon took calls until shortly before it cut them.

Change: the time of the end is known to the run of a call. It is refused as not run, at its arrival and again at the last step before the first byte, if it would be cut: one that may not be repeated if its whole time does not fit, another if what calls of its service usually take does not. The lead is at most half of the grace, the margin at its end a tenth.

Shown failing before: TestStopRefusesCallsThatItWouldCut (502 in place of 503).

--- a/edge/change_test.go
+++ b/edge/change_test.go
@@ -185,6 +185,30 @@
 	is.New(t).Equal(failed.Load(), int64(0))
 }
 
+// Guards against a call that may not be repeated, is taken late in the grace period of
+// a planned stop and is cut off at its end.
+func TestStopRefusesCallsThatItWouldCut(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, withDaemons(2), withGrace(2*time.Second))
+	for _, s := range r.apps {
+		s.Delay = 1900 * time.Millisecond
+	}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		r.daemons[0].Stop(t.Context())
+	}()
+	r.eventually("the daemon stops", func() bool { return r.daemons[0].Dump().Leaving })
+	for range 3 {
+		c := r.call("/once/x")
+		r.wantNotRun(c, r.do(c))
+	}
+	c := r.call("/once/x")
+	wantWhole(t, c, r.doAt(1, c))
+	<-stopped
+	is.Equal(r.daemons[0].Dump().OpenCalls, 0)
+}
+
 // arrivalsAt returns the number of calls that reached a server.
 func arrivalsAt(s *stub.Server) int { return len(s.Arrivals()) }
 
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -72,9 +72,14 @@
 	// load balancer has removed it by then: the load balancer checks readiness
 	// once a second and removes a daemon after two failed checks.
 	leadTime = 3 * time.Second
+	// leadFraction bounds leadTime as a fraction of the grace period, so that calls
+	// which are taken at its end still have time.
+	leadFraction = 0.5
 	// shutdownMargin is subtracted from the grace period of the settings, so that
-	// a stopping daemon ends within that period.
-	shutdownMargin = 600 * time.Millisecond
+	// a stopping daemon ends within that period. shutdownMarginFraction bounds it as a
+	// fraction of that period.
+	shutdownMargin         = 600 * time.Millisecond
+	shutdownMarginFraction = 0.1
 	// memoryLimitFraction is the soft memory limit of the Go runtime, as a
 	// fraction of the memory that the process may use. Near this limit the
 	// garbage collector runs more often. gcPercent is how much the heap may grow
@@ -142,6 +147,9 @@
 	front            *front.Server
 	seeds            atomic.Pointer[[]string]
 	leaving          atomic.Bool
+	// stopsAt is the time at which a stopping daemon ends the calls that still run; nil
+	// before.
+	stopsAt atomic.Pointer[time.Time]
 	// learned is true once another daemon has answered, startedAt the time of the start.
 	learned   atomic.Bool
 	startedAt time.Time
@@ -295,7 +303,7 @@
 		Budget: retry.NewSharedBudget(retry.Allowance{
 			Ratio: float64(s.RetryBudget.Ratio), Slack: float64(s.RetryBudget.Slack), Period: time.Duration(s.RetryBudget.Period),
 		}, d.knownDaemons),
-		Daemons: d.knownDaemons,
+		Daemons: d.knownDaemons, StopsAt: d.stopTime,
 	})
 	callers, err := conn.ListenWithoutKeepAlive(ctx, s.CallerAddress)
 	if err != nil {
@@ -313,6 +321,15 @@
 	return nil
 }
 
+// stopTime returns the time at which the daemon ends the calls that still run; zero
+// while it is not stopping.
+func (d *Daemon) stopTime() time.Time {
+	if t := d.stopsAt.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
+
 // Ready reports whether callers may be sent to this daemon: it has a
 // configuration whose API keys it may trust, it is not stopping, and it has had the
 // time to learn from another daemon which calls crash servers.
@@ -384,10 +401,18 @@
 func (d *Daemon) Stop(ctx context.Context) {
 	d.leaving.Store(true)
 	d.journal.Note("", "stopping", "open", d.front.OpenCalls())
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.ShutdownGracePeriod)-shutdownMargin)
+	grace := time.Duration(d.settings.ShutdownGracePeriod)
+	stopsAt := time.Now().Add(grace - min(shutdownMargin, fractionOf(grace, shutdownMarginFraction)))
+	d.stopsAt.Store(&stopsAt)
+	ctx, cancel := context.WithDeadline(ctx, stopsAt)
 	defer cancel()
-	err := d.front.Shutdown(ctx, leadTime)
+	err := d.front.Shutdown(ctx, min(leadTime, fractionOf(grace, leadFraction)))
 	d.cancel()
 	d.relay.Close()
 	d.journal.Note("", "stopped", "open", d.front.OpenCalls(), "error", err)
 }
+
+// fractionOf returns a fraction of a duration.
+func fractionOf(d time.Duration, fraction float64) time.Duration {
+	return time.Duration(fraction * float64(d))
+}
--- a/edge/rig_test.go
+++ b/edge/rig_test.go
@@ -65,6 +65,11 @@
 	return func(s *setup) { s.settings.KeyTrustTime = setting.Duration(d) }
 }
 
+// withGrace sets the time that a daemon has to stop.
+func withGrace(d time.Duration) option {
+	return func(s *setup) { s.settings.ShutdownGracePeriod = setting.Duration(d) }
+}
+
 // withRetry sets the retry budget.
 func withRetry(ratio, slack float64) option {
 	return func(s *setup) {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -16,6 +16,9 @@
 	// because this daemon has no usable configuration, no backend server or no
 	// time left, or is stopping.
 	unavailableRetryDelay = 500 * time.Millisecond
+	// stoppingRetryDelay is the retry delay of a call that is refused because this
+	// daemon is stopping; other daemons take it at once.
+	stoppingRetryDelay = 100 * time.Millisecond
 	// extraSends is the number of times that a call may be sent in addition to
 	// the attempts of its route, after backend servers that did not run it.
 	extraSends = 2
@@ -44,6 +47,9 @@
 	Journal    wigeonladder.Journal
 	// Meter records the results of calls; nil for none.
 	Meter Meter
+	// StopsAt returns the time at which the daemon ends the calls that still run; zero
+	// while it is not stopping. Nil means that it never stops.
+	StopsAt func() time.Time
 	// Daemons returns the number of daemons that share the connections of a
 	// backend server; nil for one.
 	Daemons func() int
@@ -145,6 +151,9 @@
 		return asError(err)
 	}
 	r.deadline = r.call.Received.Add(r.timeout())
+	if err := r.checkStop(); err != nil {
+		return err
+	}
 	r.job = &place.Job{
 		ID: r.call.ID, Service: m.Service.Name, Workspace: m.Workspace, Prompt: r.call.Prompt,
 		ArrivedAt: r.call.Received, TargetLatency: m.Route.TargetLatency, Deadline: r.deadline, ExcludedServers: map[string]bool{},
@@ -154,6 +163,32 @@
 	return nil
 }
 
+// checkStop returns an error if the daemon is stopping and would probably cut off the
+// call. A call that may not be repeated needs all of its time, because nobody could
+// tell afterwards whether it ran; another one needs what calls of its service
+// usually take.
+func (r *callRun) checkStop() *wigeonladder.Error {
+	if r.forwarder.options.StopsAt == nil {
+		return nil
+	}
+	stopsAt := r.forwarder.options.StopsAt()
+	if stopsAt.IsZero() {
+		return nil
+	}
+	end := r.deadline
+	if r.match.Route.Kind != route.AtMostOnce {
+		usual := time.Now().Add(r.match.Route.TargetLatency + r.forwarder.options.Pool.MeanRunTime(r.match.Service.Name))
+		if usual.Before(end) {
+			end = usual
+		}
+	}
+	if !end.After(stopsAt) {
+		return nil
+	}
+	return wigeonladder.Errorf(wigeonladder.CodeDraining, r.call.ID, "the daemon stops in %v, before the call would end", time.Until(stopsAt).Round(time.Millisecond)).
+		WithRetryDelay(stoppingRetryDelay)
+}
+
 // timeout returns the time limit of the whole answer: that of the caller, but
 // at most that of the route.
 func (r *callRun) timeout() time.Duration {
@@ -269,6 +304,9 @@
 	if !time.Now().Before(r.deadline) {
 		return wigeonladder.Errorf(wigeonladder.CodeWaitTooLong, i.ID, "the deadline passed before the call was sent").WithRetryDelay(unavailableRetryDelay)
 	}
+	if err := r.checkStop(); err != nil {
+		return err
+	}
 	if !r.forwarder.options.Pool.Allowed(i) {
 		return wigeonladder.Errorf(wigeonladder.CodeContractLate, i.ID, "the backend server takes no calls any more")
 	}
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -271,3 +271,49 @@
 		})
 	}
 }
+
+// Guards against a call that a stopping daemon takes, or lets wait, and cuts off at the
+// end of its grace period, although it could have been refused as not run.
+func TestCallsThatWouldBeCutAreRefused(t *testing.T) {
+	for name, x := range map[string]struct {
+		path string
+		left time.Duration
+		sent int
+	}{
+		"once, too late":   {"/once/", 1900 * time.Millisecond, 0},
+		"once, in time":    {"/once/", 2100 * time.Millisecond, 1},
+		"stream, too late": {"/stream/", 1500 * time.Millisecond, 0},
+		"stream, in time":  {"/stream/", 2100 * time.Millisecond, 1},
+		"safe, too late":   {"/safe/", 500 * time.Millisecond, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, []wigeonladder.Code{broken}, func(t *testing.T, r *rig) {
+				is := is.New(t)
+				r.options.StopsAt = func() time.Time { return time.Time{} }
+				r.serve(t, x.path)
+				is.True(len(r.sender.sent) > 0) // the daemon is not stopping
+				r.sender.sent = nil
+				stopsAt := time.Now().Add(x.left)
+				r.options.StopsAt = func() time.Time { return stopsAt }
+				err := r.serve(t, x.path)
+				is.Equal(len(r.sender.sent), x.sent)
+				if x.sent == 0 {
+					is.Equal(err.Code, wigeonladder.CodeDraining)
+					is.True(err.RetryDelay > 0)
+				}
+			})
+		})
+	}
+	bubble(t, nil, func(t *testing.T, r *rig) { // waiting since before the stop
+		is := is.New(t)
+		stopsAt := time.Time{}
+		r.options.StopsAt = func() time.Time { return stopsAt }
+		call := &wigeonladder.Call{ID: "id", Method: "POST", Host: "h", Path: "/once/", Received: time.Now()}
+		run := &callRun{forwarder: r.Forwarder, call: call, reply: &outcome{}}
+		is.True(run.admit() == nil)
+		lease, err := r.options.Pool.Acquire(t.Context(), run.job)
+		is.True(err == nil)
+		stopsAt = time.Now().Add(time.Second)
+		is.Equal(asError(run.checkBeforeSend(t.Context(), lease.Instance)).Code, wigeonladder.CodeDraining)
+	})
+}
--- a/place/stats.go
+++ b/place/stats.go
@@ -47,6 +47,14 @@
 	return st
 }
 
+// MeanRunTime returns the mean time from the first token of a call of a service to its
+// end.
+func (p *Pool) MeanRunTime(service string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.serviceState(service).runTime.mean
+}
+
 // stats returns the state of the service.
 func (g *serviceState) stats(now time.Time) ServiceStats {
 	t := ServiceStats{Service: g.name, Servers: len(g.servers), Waiting: g.waiting, WaitingTokens: g.waitingTokens, WastedCost: g.wastedCost}
