--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net"
 	"runtime/debug"
-	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -45,12 +44,6 @@
 	// keyTrustMargin is subtracted from the time for which API keys are trusted.
 	// It covers a watch that reports a change as much as a second late.
 	keyTrustMargin = 1300 * time.Millisecond
-	// learnTimeout is the time after the start from which a daemon takes calls without
-	// having heard from another one.
-	learnTimeout = time.Second
-	// suspicionsPeriod is the time between two reports with all suspicions, from which
-	// a restarted daemon, or one that was cut off, learns them.
-	suspicionsPeriod = time.Second
 	// maxHeaderBytes and maxBodyBytes bound the header and the body of a call.
 	maxHeaderBytes = 20 << 10
 	maxBodyBytes   = 5 << 20
@@ -68,18 +61,6 @@
 	// Even a daemon that is short of processor time reads so many before their
 	// callers leave.
 	maxUnreadConns = 128
-	// leadTime is how long a stopping daemon still accepts calls, so that the
-	// load balancer has removed it by then: the load balancer checks readiness
-	// once a second and removes a daemon after two failed checks.
-	leadTime = 3 * time.Second
-	// leadFraction bounds leadTime as a fraction of the grace period, so that calls
-	// which are taken at its end still have time.
-	leadFraction = 0.5
-	// shutdownMargin is subtracted from the grace period of the settings, so that
-	// a stopping daemon ends within that period. shutdownMarginFraction bounds it as a
-	// fraction of that period.
-	shutdownMargin         = 600 * time.Millisecond
-	shutdownMarginFraction = 0.1
 	// memoryLimitFraction is the soft memory limit of the Go runtime, as a
 	// fraction of the memory that the process may use. Near this limit the
 	// garbage collector runs more often. gcPercent is how much the heap may grow
@@ -321,15 +302,6 @@
 	return nil
 }
 
-// stopTime returns the time at which the daemon ends the calls that still run; zero
-// while it is not stopping.
-func (d *Daemon) stopTime() time.Time {
-	if t := d.stopsAt.Load(); t != nil {
-		return *t
-	}
-	return time.Time{}
-}
-
 // Ready reports whether callers may be sent to this daemon: it has a
 // configuration whose API keys it may trust, it is not stopping, and it has had the
 // time to learn from another daemon which calls crash servers.
@@ -337,82 +309,9 @@
 	return !d.leaving.Load() && d.tableStore.Table() != nil && d.tableStore.KeysTrusted() && d.hasLearned()
 }
 
-// hasLearned reports whether another daemon has answered since the start, or none is
-// expected to.
-func (d *Daemon) hasLearned() bool {
-	if d.learned.Load() || time.Since(d.startedAt) >= learnTimeout {
-		return true
-	}
-	return !slices.ContainsFunc(*d.seeds.Load(), func(a string) bool { return a != d.settings.PeerAddress })
-}
-
-// known returns what a daemon that connects has to know before it takes calls.
-func (d *Daemon) known() exchange.Report {
-	return exchange.Report{Suspicions: d.suspects.Export(), Place: place.Report{Limits: d.pool.Limits()}}
-}
-
-// learn applies what another daemon knows.
-func (d *Daemon) learn(r exchange.Report) {
-	d.suspects.Import(r.Suspicions)
-	d.pool.ImportLimits(r.Place.Limits)
-	d.learned.Store(true)
-}
-
-// exportReport returns the next report to the other daemons. Charges and totals are
-// part of it only if charges is true, suspicions when they change and each
-// suspicionsPeriod. It is not safe for concurrent use.
-func (d *Daemon) exportReport(charges bool) exchange.Report {
-	r := exchange.Report{Place: d.pool.Export(), Suspicions: d.suspects.ExportChanges(), Draining: d.leaving.Load()}
-	if charges {
-		if c := d.counters.Export(); len(c.Rows) > 0 {
-			r.Charges = &c
-		}
-		r.Totals = d.window.Export()
-	}
-	if now := time.Now(); now.Sub(d.suspicionsSentAt) >= suspicionsPeriod {
-		d.suspicionsSentAt = now
-		r.Suspicions = append(r.Suspicions, d.suspects.Export()...)
-	}
-	return r
-}
-
-// importReport applies the report of another daemon.
-func (d *Daemon) importReport(r exchange.Report) {
-	d.pool.Import(r.From, r.Place, r.Lifetime())
-	if r.Charges != nil {
-		d.counters.Import(*r.Charges)
-	}
-	d.window.Import(r.Incarnation, r.Totals)
-	if len(r.Suspicions) > 0 {
-		d.suspects.Import(r.Suspicions)
-	}
-}
-
 // Reload applies changed settings to the running daemon. Only the seeds can be
 // changed without a restart.
 func (d *Daemon) Reload(s setting.Edge) {
 	d.seeds.Store(&s.Seeds)
 	d.journal.Note("", "reloaded", "seeds", s.Seeds)
 }
-
-// Stop ends the daemon gracefully. It serves on until callers have moved to
-// other daemons, and cuts off what is still open when the grace period of the
-// settings is almost over.
-func (d *Daemon) Stop(ctx context.Context) {
-	d.leaving.Store(true)
-	d.journal.Note("", "stopping", "open", d.front.OpenCalls())
-	grace := time.Duration(d.settings.ShutdownGracePeriod)
-	stopsAt := time.Now().Add(grace - min(shutdownMargin, fractionOf(grace, shutdownMarginFraction)))
-	d.stopsAt.Store(&stopsAt)
-	ctx, cancel := context.WithDeadline(ctx, stopsAt)
-	defer cancel()
-	err := d.front.Shutdown(ctx, min(leadTime, fractionOf(grace, leadFraction)))
-	d.cancel()
-	d.relay.Close()
-	d.journal.Note("", "stopped", "open", d.front.OpenCalls(), "error", err)
-}
-
-// fractionOf returns a fraction of a duration.
-func fractionOf(d time.Duration, fraction float64) time.Duration {
-	return time.Duration(fraction * float64(d))
-}
--- a/place/choose.go
+++ b/place/choose.go
@@ -138,7 +138,7 @@
 // hasRoom reports whether a job may be sent to a server now. A workspace that
 // has received its share gets only spare capacity.
 func (p *Pool) hasRoom(g *serviceState, s *server, wait time.Duration, j *Job, standing fair.Standing) bool {
-	if s.part.wait(0, time.Now()) > 0 {
+	if s.part.watched && s.part.wait(0, time.Now()) > 0 {
 		return false
 	}
 	l := s.total()
--- a/place/limit.go
+++ b/place/limit.go
@@ -32,6 +32,12 @@
 // Member is a daemon that takes calls.
 type Member struct{ Name, Zone string }
 
+// hashedMember is a Member with the hash of its name.
+type hashedMember struct {
+	Member
+	hash uint64
+}
+
 // limit is the number of requests a second that an incarnation of a server takes from
 // all daemons together.
 type limit struct {
@@ -203,14 +209,17 @@
 	}
 	s.part = limitPart{watched: true, refilledAt: now}
 	p.limited = append(p.limited, s)
-	s.part.rate = p.partOf(s, p.members())
+	s.part.rate = partOf(s, p.members())
 }
 
 // members returns the daemons that share the limits; this one is always the first.
-func (p *Pool) members() []Member {
-	l := []Member{{p.options.Name, p.options.Zone}}
-	if p.options.Members != nil {
-		l = append(l, p.options.Members()...)
+func (p *Pool) members() []hashedMember {
+	l := []hashedMember{{Member{p.options.Name, p.options.Zone}, nameHash(p.options.Name)}}
+	if p.options.Members == nil {
+		return l
+	}
+	for _, m := range p.options.Members() {
+		l = append(l, hashedMember{m, nameHash(m.Name)})
 	}
 	return l
 }
@@ -233,20 +242,20 @@
 			return true
 		}
 		s.part.refill(now)
-		s.part.rate = p.partOf(s, members)
+		s.part.rate = partOf(s, members)
 		return false
 	})
 }
 
-// partOf returns the requests a second that this daemon may send to a server with a
+// partOf returns the requests a second that the first of the daemons may send to a server with a
 // limit. Few daemons have a part, so that none gets less than about a request a second:
 // parts of a hundred daemons would either be lost or come due together. All daemons
 // choose the same ones by rendezvous hashing, those in the zone of the server first.
-func (p *Pool) partOf(s *server, members []Member) float64 {
+func partOf(s *server, members []hashedMember) float64 {
 	perSecond := max(s.notice.limit.perSecond, limitMin)
 	parts := max(min(int(perSecond), len(members)), 1)
-	rank := func(m Member) (otherZone bool, weight uint64) {
-		return m.Zone != s.instance.Zone, mix(nameHash(m.Name) ^ s.hash)
+	rank := func(m hashedMember) (otherZone bool, weight uint64) {
+		return m.Zone != s.instance.Zone, mix(m.hash ^ s.hash)
 	}
 	ownOther, ownWeight := rank(members[0])
 	before := 0
