--- a/backend/relay.go
+++ b/backend/relay.go
@@ -13,13 +13,13 @@
 )
 
 const (
-	// relayDialTimeout is how long a call waits for a connection to open. Since
+	// relayDialTimeout limits the wait of a call for a connection to open. Since
 	// nothing has been sent by then, the call can be tried at another server. That
 	// is faster than waiting for TCP to retransmit a lost SYN. While connections
 	// open slowly a call waits longer, up to relayDialTimeoutMax.
 	relayDialTimeout    = 300 * time.Millisecond
 	relayDialTimeoutMax = 1500 * time.Millisecond
-	// unackedTimeout is how long sent data may stay unacknowledged before the
+	// unackedTimeout limits the time that sent data may stay unacknowledged before the
 	// connection counts as broken.
 	unackedTimeout = 2 * time.Second
 	// relayIdleTimeout is the longest time that an idle connection is kept. A
@@ -88,8 +88,8 @@
 	// together; HasLimit is false if it states none.
 	Limit    float64
 	HasLimit bool
-	// KeepAliveTimeout is how long the server says that it keeps an idle
-	// connection; 0 if it states no time.
+	// KeepAliveTimeout is the time for which the server keeps an idle connection, as
+	// it states; 0 if it states none.
 	KeepAliveTimeout time.Duration
 }
 
--- a/call.go
+++ b/call.go
@@ -18,7 +18,7 @@
 	Body    []byte
 	// APIKey is the API key of the workspace; empty if the caller sent none.
 	APIKey string
-	// Timeout is how long the caller waits for the answer; 0 if it sent no limit.
+	// Timeout is the time for which the caller waits for the answer; 0 if it sent no limit.
 	Timeout time.Duration
 	// Prompt describes the prompt of a model request, as stated by the caller.
 	Prompt Prompt
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -29,7 +29,7 @@
 )
 
 const (
-	// storeWatchTimeout is how long one watch of the store waits for a change. Each
+	// storeWatchTimeout is the time for which one watch of the store waits for a change. Each
 	// answer confirms that the known API keys are still in force.
 	storeWatchTimeout = 700 * time.Millisecond
 	// watchPauseFraction is the time between two watches, during which changes
@@ -38,8 +38,8 @@
 	// the pause each change would cost a call of the store. The rest of the time
 	// leaves room for a slow answer and one lost call.
 	watchPauseFraction = 0.4
-	// relayWaitMargin is how much later than its next read of the store the daemon
-	// that reads for others may answer before the store is read directly.
+	// relayWaitMargin is the time after its next read of the store within which the
+	// daemon that reads for others must answer; otherwise the store is read directly.
 	relayWaitMargin = 250 * time.Millisecond
 	// keyTrustMargin is subtracted from the time for which API keys are trusted.
 	// It covers a watch that reports a change as much as a second late.
@@ -63,7 +63,7 @@
 	maxUnreadConns = 128
 	// memoryLimitFraction is the soft memory limit of the Go runtime, as a
 	// fraction of the memory that the process may use. Near this limit the
-	// garbage collector runs more often. gcPercent is how much the heap may grow
+	// garbage collector runs more often. gcPercent is the growth of the heap
 	// between two collections, in percent.
 	memoryLimitFraction = 0.5
 	gcPercent           = 300
@@ -82,7 +82,7 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// Platform is what an edge daemon needs of the platform: its store, store keys
+// Platform contains the parts of the platform that an edge daemon uses: its store, store keys
 // and readiness path, and the formats of its documents and headers.
 type Platform struct {
 	// Store reads the platform's store.
--- a/edge/report.go
+++ b/edge/report.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// learnTimeout is the time after the start from which a daemon takes calls without
-	// having heard from another one.
+	// learnTimeout is the time after the start from which a daemon takes calls even if
+	// no other daemon has answered its hello.
 	learnTimeout = time.Second
 	// suspicionsPeriod is the time between two reports with all suspicions, from which
 	// a restarted daemon, or one that was cut off, learns them.
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// leadTime is how long a stopping daemon still accepts calls, so that the
+	// leadTime is the time for which a stopping daemon still accepts calls, so that the
 	// load balancer has removed it by then: the load balancer checks readiness
 	// once a second and removes a daemon after two failed checks.
 	leadTime = 3 * time.Second
--- a/exchange/mesh.go
+++ b/exchange/mesh.go
@@ -61,9 +61,9 @@
 	Export func(charges bool) Report
 	// Import applies the report of another daemon.
 	Import func(r Report)
-	// Known returns what another daemon has to know before it takes calls, such as one
-	// that has just started. Learn applies what another daemon returned. Both may be
-	// nil.
+	// Known returns the suspicions and limits that another daemon, such as one that has
+	// just started, needs before it takes calls. Learn applies those that another
+	// daemon returned. Both may be nil.
 	Known func() Report
 	Learn func(r Report)
 	// Feed offers what this daemon reads from the store to the daemons of its zone;
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -47,7 +47,8 @@
 	Columns bool `json:"d,omitempty"`
 	// Feeds is true if the daemon offers to others what it reads from the store.
 	Feeds bool `json:"f,omitempty"`
-	// Known is what a daemon has to know before it takes calls; nil for nothing.
+	// Known contains the suspicions and limits that a daemon needs before it takes
+	// calls; nil from a daemon of an earlier version.
 	Known *Report `json:"w,omitempty"`
 }
 
@@ -63,7 +64,7 @@
 	lifetimeMax = 20 * time.Second
 )
 
-// Report is what one daemon tells the others.
+// Report is the message in which one daemon reports its state to the others.
 type Report struct {
 	From string `json:"f"`
 	// Zone is the zone of the daemon.
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -9,14 +9,14 @@
 // origin is the state of one daemon whose reports arrive.
 type origin struct {
 	incarnation string
-	// sequence is that of the newest report.
+	// sequence is the number of the newest report.
 	sequence int64
-	// validUntil is when the newest report expires.
+	// validUntil is the time at which the newest report expires.
 	validUntil time.Time
 	// sameZone is true for a daemon of this zone.
 	sameZone bool
-	// zone is that of the daemon, empty if its reports do not name it. draining is
-	// true while it stops.
+	// zone is the zone of the daemon; empty if its reports do not name it. draining is
+	// true while the daemon is stopping.
 	zone     string
 	draining bool
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -37,7 +37,7 @@
 	AcceptsConnections(i wigeonladder.Instance) bool
 }
 
-// Options are what a Forwarder needs.
+// Options are the dependencies of a Forwarder.
 type Options struct {
 	TableStore *route.TableStore
 	Pool       *place.Pool
@@ -111,7 +111,7 @@
 	began bool
 	// sentAt is the time of the last check before the current attempt was sent.
 	sentAt time.Time
-	// firstByteAt is when the first byte of the answer arrived.
+	// firstByteAt is the time at which the first byte of the answer arrived.
 	firstByteAt time.Time
 	// fallback is an error answer of a backend server that the caller gets if
 	// no other attempt succeeds.
@@ -165,8 +165,7 @@
 
 // checkStop returns an error if the daemon is stopping and would probably cut off the
 // call. A call that may not be repeated needs all of its time, because nobody could
-// tell afterwards whether it ran; another one needs what calls of its service
-// usually take.
+// tell afterwards whether it ran. Other calls need the usual time of their service.
 func (r *callRun) checkStop() *wigeonladder.Error {
 	if r.forwarder.options.StopsAt == nil {
 		return nil
@@ -250,8 +249,8 @@
 	return nil
 }
 
-// recordNotice records what the head of an answer says about further calls to the
-// server: that it leaves, or, in a refusal, that it wants none for a time.
+// recordNotice records the limit, the departure and the pause that the head of an
+// answer states. A pause counts only in a refusal.
 func (r *callRun) recordNotice(i wigeonladder.Instance, h backend.AnswerHead) {
 	pool := r.forwarder.options.Pool
 	r.recordLimit(i, h)
--- a/interfaces.go
+++ b/interfaces.go
@@ -259,7 +259,7 @@
 	// Fingerprint is the fingerprint of workspace, service, path and body, or of a
 	// prompt part.
 	Fingerprint uint64 `json:"p"`
-	// Servers are the names of these backend servers; none if the suspicion was
+	// Servers are the names of these backend servers; empty if the suspicion was
 	// cleared.
 	Servers []string `json:"s"`
 	// AgeMs is the time since the last failure, or since the suspicion was
--- a/place/availability.go
+++ b/place/availability.go
@@ -42,7 +42,7 @@
 const (
 	// MaxPause bounds the time for which a server may ask for no calls.
 	MaxPause = time.Minute
-	// reportedLeavingTime is how long a server that another daemon reported as
+	// reportedLeavingTime is the time for which a server that another daemon reported as
 	// leaving gets no calls. Then this daemon asks the server itself, so that a
 	// false or late report does not lose it for good.
 	reportedLeavingTime = 10 * time.Second
@@ -62,9 +62,10 @@
 	return incarnation{i.ID, i.StartUnixMs, i.Address}
 }
 
-// notice is what an incarnation of a server, or another daemon, said about calls to
-// it. It outlives the server's entry in the store, so that an entry that lapses and
-// returns does not bring back a server that leaves.
+// notice contains the restrictions on calls to one incarnation of a server, as stated
+// by the server or reported by another daemon. It outlives the server's entry in the
+// store, so that an entry that lapses and returns does not bring back a server that
+// leaves.
 type notice struct {
 	leaving       bool
 	reportedUntil time.Time
--- a/place/choose.go
+++ b/place/choose.go
@@ -101,8 +101,8 @@
 	return s.expectedWait()
 }
 
-// isBefore reports whether the candidate is better than another one. Of two with the
-// same rank it is the one whose name comes first.
+// isBefore reports whether the candidate is better than another one. Candidates of the
+// same rank are ordered by name.
 func (o candidate) isBefore(other candidate) bool {
 	return o.rank < other.rank || o.rank == other.rank && o.server.instance.ID < other.server.instance.ID
 }
--- a/place/job.go
+++ b/place/job.go
@@ -13,9 +13,8 @@
 	Service   string
 	Workspace string
 	Prompt    wigeonladder.Prompt
-	// ArrivedAt is when the call arrived. TargetLatency is the time from then
-	// after which its answer loses value, Deadline the time after which it has
-	// none.
+	// ArrivedAt is the arrival time of the call. TargetLatency is the time after it
+	// from which the answer loses value, Deadline the time from which it has none.
 	ArrivedAt     time.Time
 	TargetLatency time.Duration
 	Deadline      time.Time
@@ -32,7 +31,7 @@
 	// of tokens that the job adds to the server's queue.
 	assigned     *server
 	queuedTokens int
-	// lastReassigned is when a better server was last looked for.
+	// lastReassigned is the time of the last search for a better server.
 	lastReassigned time.Time
 }
 
--- a/place/limit.go
+++ b/place/limit.go
@@ -22,8 +22,8 @@
 	limitLifetime = 30 * time.Second
 	// limitReportPeriod is the time between two reports of the same limit.
 	limitReportPeriod = time.Second
-	// limitEndReports is how long the end of a limit is reported again as further
-	// answers confirm it.
+	// limitEndReports is the time for which the end of a limit is reported again when
+	// further answers confirm it.
 	limitEndReports = 10 * time.Second
 	// memberPeriod is the time between two divisions of the limits.
 	memberPeriod = 200 * time.Millisecond
--- a/place/pool.go
+++ b/place/pool.go
@@ -16,7 +16,7 @@
 
 // Options configures a Pool.
 type Options struct {
-	// Name and Zone are those of this daemon.
+	// Name is the name of this daemon, Zone its availability zone.
 	Name, Zone string
 	// Shares orders the workspaces whose calls wait. Without it their order is
 	// random.
@@ -48,8 +48,8 @@
 	// leaving contains the servers that said since the last report that they leave.
 	leaving []LeavingServer
 	notices notices
-	// limited contains the servers with a limit in force, which was divided at
-	// dividedAt. limitReports contains what the next report says of limits.
+	// limited contains the servers with a limit in force. The limits were last divided
+	// at dividedAt. limitReports contains the limits of the next report.
 	// limitLifetime differs between daemons.
 	limited       []*server
 	dividedAt     time.Time
@@ -58,11 +58,11 @@
 	remote        *remoteDaemons
 	// unread contains the leases whose first token has not arrived.
 	unread map[*Lease]struct{}
-	// sweptAt is when sweep last ran, or the start; maxSweepDelay by how much one of its runs
-	// was late at most since the last call of Stats.
+	// sweptAt is the time of the last sweep, or of the start. maxSweepDelay is the
+	// longest delay of a sweep since the last call of Stats.
 	sweptAt       time.Time
 	maxSweepDelay time.Duration
-	// lateUntil is until when the daemon counts as late.
+	// lateUntil is the time until which the daemon counts as late.
 	lateUntil time.Time
 }
 
@@ -77,7 +77,7 @@
 	order   []*server
 	queues  map[string][]*Job
 	waiting int
-	// lastDrain is when waiting jobs were last considered for placement.
+	// lastDrain is the time of the last search for waiting jobs to place.
 	lastDrain time.Time
 	// waitingTokens is the number of prompt tokens of the waiting jobs.
 	waitingTokens int
--- a/place/server.go
+++ b/place/server.go
@@ -75,16 +75,16 @@
 	blockedUntil time.Time
 	blockTime    time.Duration
 	probing      bool
-	// heardAt is when the server last answered a call of this daemon.
+	// heardAt is the time of the last answer to a call of this daemon.
 	heardAt time.Time
-	// notice is what was said about calls to this incarnation; nil for nothing.
+	// notice contains the restrictions on calls to this incarnation; nil without any.
 	notice *notice
 	// part is this daemon's part of the limit that the server named.
 	part limitPart
 	// queuedTokens is the number of prompt tokens of the jobs that wait in this
 	// daemon for the server, queuedJobs the number of these jobs.
 	queuedTokens, queuedJobs int
-	// runTime is that of the service.
+	// runTime is the mean run time of the service.
 	runTime *runTime
 }
 
--- a/place/summary.go
+++ b/place/summary.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// summaryPeriod is how long a summary of the servers is used, so that not every call
+// summaryPeriod is the time for which a summary of the servers is used, so that not every call
 // walks all servers.
 const summaryPeriod = 100 * time.Millisecond
 
--- a/retry/part.go
+++ b/retry/part.go
@@ -71,8 +71,7 @@
 	workspaces []string
 	// quarantined is true once the part is quarantined, until it is cleared.
 	quarantined bool
-	// independent is the largest number of independent crashes that this daemon or
-	// another one has found.
+	// independent is the largest number of independent crashes found by any daemon.
 	independent int
 	// trials is the number of trials that crashed a server. While trialUntil has not
 	// passed, a trial runs.
@@ -225,7 +224,7 @@
 
 // IsolationKey returns the key of the part of a call that is most suspected of
 // crashing servers; 0 if none is. Calls with the same key have to run on the same
-// server, so that the calls of all daemons crash one server at the most.
+// server, so that concurrent calls of all daemons crash at most one server.
 func (s *Suspects) IsolationKey(c CallKeys) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -253,9 +252,8 @@
 	return len(s.quarantined)
 }
 
-// updateQuarantine determines the quarantined parts after a change. The parts with
-// most crashes come first. What they explain is not held against other parts, whose
-// calls ran beside theirs.
+// updateQuarantine determines the quarantined parts after a change, those with most
+// crashes first. Crashes that a quarantined part explains do not count for other parts.
 func (s *Suspects) updateQuarantine() {
 	if !s.quarantineIsOld {
 		return
@@ -321,10 +319,10 @@
 	return slices.DeleteFunc(slices.Clone(k.crashes), func(c crash) bool { return explained[c.server] })
 }
 
-// independentCrashes returns the number of crashes of a part that tell something by
-// themselves: the call was sent after the crash before it, and at that time not most
-// of the servers crashed under calls without the part. Another daemon that knows the
-// times better may have found more.
+// independentCrashes returns the number of independent crashes of a part: the call was
+// sent after the previous crash, and at least half of the servers that crashed at about
+// the same time had unanswered calls with the part. A daemon that knows the times more
+// precisely may have reported more.
 func (s *Suspects) independentCrashes(k *suspect, unexplained []crash) int {
 	n := 0
 	var last time.Time
--- a/retry/suspects.go
+++ b/retry/suspects.go
@@ -18,7 +18,7 @@
 	// quarantined. One server may crash by coincidence while it runs a harmless
 	// request.
 	quarantineCrashes = 2
-	// suspicionLifetime is how long a suspicion holds after the last crash.
+	// suspicionLifetime is the time for which a suspicion holds after the last crash.
 	suspicionLifetime = 10 * time.Minute
 	// maxSuspects bounds the number of records; the least recently changed one
 	// is evicted.
--- a/retry/suspicion.go
+++ b/retry/suspicion.go
@@ -14,8 +14,8 @@
 	// maxExportedChanges bounds the changed records in a message. The others follow
 	// with the next ones.
 	maxExportedChanges = 128
-	// maxReportDelay is the time that a report is assumed to take at the most. The
-	// crash in it then counts as that much less certain to have followed another one.
+	// maxReportDelay is the longest delay of a report that is taken into account when
+	// the order of crashes is determined from reports.
 	maxReportDelay = 500 * time.Millisecond
 	// sameCrashInterval is the difference up to which two crash times count as
 	// one crash that two daemons saw. Without it, daemons that send each other
