place: isolated calls avoid servers that fail

Calls with a suspect prompt part go to one server that the hash of the part selects. If that one accepts calls and answers none, no answer could clear the part, and all its calls would go there. Found by reading.

Change: a server with a recent failure is chosen only if all have one.

--- a/place/choose.go
+++ b/place/choose.go
@@ -25,6 +25,9 @@
 	// spareCalls is the number of calls beyond its slots that a server of a
 	// plain service, which has no model engine, is sent.
 	spareCalls = 2
+	// isolationMaxFailureRate is the failure rate up to which a server runs isolated
+	// calls. One recent failure is above it.
+	isolationMaxFailureRate = 0.2
 	// firstByteGraceMin and firstByteGraceMax bound how much later than
 	// expected the first byte may arrive before the call counts as a failure of
 	// the server. Between them the bound is the target latency of the call.
@@ -74,16 +77,19 @@
 }
 
 // isolatedServer returns the server on which all daemons run the jobs with the
-// isolation key of a job; nil if no server takes calls.
+// isolation key of a job; nil if no server takes calls. A server that fails calls is
+// chosen only if all do, since its silence would keep the key isolated.
 func (p *Pool) isolatedServer(g *serviceState, j *Job, now time.Time) *candidate {
 	var chosen *server
 	var weight uint64
+	var failing bool
 	for _, s := range g.order {
 		if !s.available(now) || j.ExcludedServers[s.instance.ID] {
 			continue
 		}
-		if w := mix(j.IsolationKey ^ s.hash); chosen == nil || w > weight {
-			chosen, weight = s, w
+		w, f := mix(j.IsolationKey^s.hash), s.currentFailureRate(now) > isolationMaxFailureRate
+		if chosen == nil || failing && !f || failing == f && w > weight {
+			chosen, weight, failing = s, w, f
 		}
 	}
 	if chosen == nil {
--- a/place/preferred_test.go
+++ b/place/preferred_test.go
@@ -126,3 +126,21 @@
 		finish(l)
 	})
 }
+
+// Guards against a suspect part that stays suspect, because its calls all go to a
+// server that does not answer.
+func TestIsolatedCallsAvoidFailingServers(t *testing.T) {
+	bubble(t, 3, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		servers := map[string]bool{}
+		for range 3 {
+			j := r.job("w", "part")
+			j.IsolationKey = 7
+			l := r.acquire(t, j)
+			servers[l.Instance.ID] = true
+			time.Sleep(l.ExpectedFirstToken + j.TargetLatency + 2*sweepPeriod) // silent
+			l.End(Inconclusive)
+		}
+		is.Equal(len(servers), 3)
+	})
+}
