place: a limit above the largest integer is divided among all daemons

The conversion of such a number to an integer depends on the machine: on x86-64 it is below 0, so that one daemon would have had the whole limit. Found by reading; the test has a limit of 1e20 now, which passes on arm64 without the change.

--- a/place/limit.go
+++ b/place/limit.go
@@ -253,7 +253,7 @@
 // choose the same ones by rendezvous hashing, those in the zone of the server first.
 func partOf(s *server, members []hashedMember) float64 {
 	perSecond := max(s.notice.limit.perSecond, limitMin)
-	parts := max(min(int(perSecond), len(members)), 1)
+	parts := max(int(min(perSecond, float64(len(members)))), 1)
 	rank := func(m hashedMember) (otherZone bool, weight uint64) {
 		return m.Zone != s.instance.Zone, mix(m.hash ^ s.hash)
 	}
