retry: the trial of a quarantined part may be checked twice before it is sent

A request with a body of 4 KiB or more is checked again by the goroutine that writes it. The second check took the trial for another one, so that the part would never have been tried by such a call. Found by reading.

Shown failing before: the new line of TestQuarantineEndsWithTrials.

--- a/retry/part.go
+++ b/retry/part.go
@@ -73,10 +73,11 @@
 	quarantined bool
 	// independent is the largest number of independent crashes found by any daemon.
 	independent int
-	// trials is the number of trials that crashed a server. While trialUntil has not
-	// passed, a trial runs.
+	// trials is the number of trials that crashed a server. Until trialUntil, the call
+	// with the key trialCall is the only one that is let through.
 	trials     int
 	trialUntil time.Time
+	trialCall  uint64
 	// delay differs between daemons, so that the trials of the fleet do not begin
 	// together. It is a fraction of the quarantine.
 	delay float64
@@ -189,7 +190,11 @@
 		if !k.part.concerns(c.Workspace) {
 			continue
 		}
-		if until := maxTime(k.quarantineEnd(), k.part.trialUntil); now.Before(until) {
+		until := k.quarantineEnd()
+		if k.part.trialCall != c.Request {
+			until = maxTime(until, k.part.trialUntil)
+		}
+		if now.Before(until) {
 			return wigeonladder.Errorf(wigeonladder.CodeSuspect, place,
 				"the backend servers %q crashed before they answered a call with a part of this prompt", k.servers()).
 				WithRetryAfter(int(math.Ceil(until.Sub(now).Seconds())))
@@ -198,7 +203,7 @@
 	}
 	if sending {
 		for _, k := range trials {
-			k.part.trialUntil = now.Add(trialTimeout)
+			k.part.trialUntil, k.part.trialCall = now.Add(trialTimeout), c.Request
 		}
 	}
 	return nil
