--- a/retry/part_test.go
+++ b/retry/part_test.go
@@ -146,7 +146,7 @@
 		time.Sleep(30 * time.Hour)
 		k := f.keysOf("w", "tainted")
 		is.NoErr(s.AdmitCall(k, ""))
-		is.NoErr(s.AdmitCall(k, "")) // a long request is checked twice
+		is.NoErr(s.AdmitCall(k, ""))                                                        // a long request is checked twice
 		expectCode(is, s.AdmitCall(f.keysOf("w", "tainted"), ""), wigeonladder.CodeSuspect) // one trial at a time
 		s.RecordAnswer(k)
 		is.NoErr(s.AdmitCall(f.keysOf("w", "tainted"), ""))
