exchange, platform/stub: smaller files, names of the platform stay in its folder

Functions move and nothing else changes: the members of a mesh and the answers of the stand-in have files of their own, and two tests of edge take what they need of the platform's names from platform/stub.

--- a/edge/crash_test.go
+++ b/edge/crash_test.go
@@ -25,7 +25,7 @@
 	for _, s := range r.engines {
 		s.Delay = 20 * time.Millisecond
 		s.SetFault(func(_ int, q *http.Request) stub.Fault {
-			if strings.Contains(q.Header.Get("Prompt-Prefix"), crashingPart) {
+			if strings.Contains(stub.PromptParts(q.Header), crashingPart) {
 				return stub.Crash
 			}
 			return stub.NoFault
@@ -59,7 +59,7 @@
 	n := 0
 	for _, s := range r.engines {
 		for _, x := range s.Runs() {
-			if strings.Contains(x.Header.Get("Prompt-Prefix"), crashingPart) {
+			if strings.Contains(stub.PromptParts(x.Header), crashingPart) {
 				n++
 			}
 		}
--- a/edge/entry_test.go
+++ b/edge/entry_test.go
@@ -2,20 +2,12 @@
 
 import (
 	"fmt"
-	"strings"
 	"testing"
 
 	"github.com/matryer/is"
-)
 
-// oddEntries are entries of other writers among those of the servers.
-var oddEntries = []string{
-	strings.Repeat("[", 100000), strings.Repeat(`{"service":`, 100000), "\x00\xff", "null", `{}`,
-	`{"service":"model","address":"127.0.0.1:65536","zone":"zone-a","version":"v1","slots":8,"state":"ready","coldRemainingMs":0,"sequence":1}`,
-	`{"service":"model","address":"127.0.0.1:80","zone":"zone-a","version":"v1","slots":1e400,"state":"ready","coldRemainingMs":0,"sequence":1}`,
-	`{"service":"model","address":"127.0.0.1:80","zone":"zone-a","version":"v1","slots":9223372036854775807,"state":"ready","coldRemainingMs":0,"sequence":1}`,
-	`{"service":"model","address":"127.0.0.1:80","zone":"zone-a","version":"v1","slots":-8,"state":"ready","coldRemainingMs":0,"sequence":1}`,
-}
+	"github.com/wigeonladder/wigeonladder/platform/stub"
+)
 
 // Guards against daemons that end, stop following the list, or lose a server, because
 // another writer left an odd entry among those of the servers. With four daemons, one
@@ -35,11 +27,11 @@
 		return n
 	}
 	all := servers("")
-	for i, odd := range oddEntries {
+	for i, odd := range stub.OddServerEntries {
 		r.store.PutRawServer(fmt.Sprint("odd-", i), []byte(odd))
 	}
 	good := r.engines[0].Instance()
-	for _, odd := range oddEntries {
+	for _, odd := range stub.OddServerEntries {
 		r.store.PutRawServer(good.ID, []byte(odd))
 		r.eventually("the server is not used", func() bool { return servers(good.ID) == 0 })
 		is.Equal(servers(""), all-len(r.daemons))
--- a/exchange/mesh.go
+++ b/exchange/mesh.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -12,7 +11,6 @@
 
 	"github.com/wigeonladder/wigeonladder"
 	"github.com/wigeonladder/wigeonladder/inventory"
-	"github.com/wigeonladder/wigeonladder/place"
 )
 
 const (
@@ -119,46 +117,6 @@
 	return m
 }
 
-// AliveCount returns the number of daemons with a valid report, plus this one.
-func (m *Mesh) AliveCount() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	n := 1
-	for _, o := range m.origins {
-		if time.Now().Before(o.validUntil) {
-			n++
-		}
-	}
-	return n
-}
-
-// Members returns the other daemons with a valid report that are not stopping.
-func (m *Mesh) Members() []place.Member {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var l []place.Member
-	now := time.Now()
-	for name, o := range m.origins {
-		if now.Before(o.validUntil) && !o.draining {
-			l = append(l, place.Member{Name: name, Zone: o.zone})
-		}
-	}
-	return l
-}
-
-// PeerAddresses returns the addresses of the daemons that this one connects to,
-// sorted.
-func (m *Mesh) PeerAddresses() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	l := make([]string, 0, len(m.peers))
-	for a := range m.peers {
-		l = append(l, a)
-	}
-	slices.Sort(l)
-	return l
-}
-
 // SentTotals returns the number of messages with reports that were queued for
 // peers, and the sum of their sizes in bytes.
 func (m *Mesh) SentTotals() (reports, bytes int64) {
