soak: one server of each run names a limit, which all daemons have to keep

The check follows the rule: in any 4 s at most one and a half times the limit and 5 calls, from 3 s after it was first named, over all daemons that were told and not disturbed. The server is chosen by random numbers of its own, so that seeds keep their other faults.

--- a/soak/fault.go
+++ b/soak/fault.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -16,6 +18,8 @@
 	meanFaultInterval = 500 * time.Millisecond
 	// maxFaultDuration is the upper bound of the random duration of a fault.
 	maxFaultDuration = 4 * time.Second
+	// limitStream is the stream of the random numbers for limitServer.
+	limitStream = 1 << 20
 )
 
 // injectFaults injects random faults for the time Options.FaultDuration. It does not
@@ -23,6 +27,7 @@
 func (s *soak) injectFaults(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, s.options.FaultDuration)
 	defer cancel()
+	s.limitServer()
 	for sleep(ctx, time.Duration(s.random.Int64N(int64(2*meanFaultInterval)))) {
 		s.checker.countFault()
 		duration := time.Duration(s.random.Int64N(int64(maxFaultDuration)))
@@ -113,6 +118,7 @@
 	defer s.mu.Unlock()
 	s.checker.serverReturns(b.storeEntry.ID)
 	b.SetLeaving(false)
+	b.SetLimit("")
 	b.storeEntry.StartUnixMs++
 	s.store.PutServer(b.storeEntry)
 }
@@ -125,6 +131,16 @@
 	b.Pause(d)
 }
 
+// limitServer makes a server name a limit until its incarnation ends. The server is
+// chosen apart from the other faults, so that a seed keeps those.
+func (s *soak) limitServer() {
+	random := rand.New(rand.NewPCG(s.options.Seed, limitStream))
+	b := s.servers[random.IntN(len(s.servers))]
+	limit := strconv.Itoa(2 + random.IntN(6))
+	s.logFault("%s names a limit of %s calls a second", b.storeEntry.ID, limit)
+	b.SetLimit(limit)
+}
+
 // disturbStoreProxy disturbs the connections to the store.
 func (s *soak) disturbStoreProxy(ctx context.Context, d time.Duration) {
 	mode := Delayed + ProxyMode(s.random.IntN(int(proxyModes)-1))
--- a/soak/notice.go
+++ b/soak/notice.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/wigeonladder/wigeonladder/platform/stub"
@@ -13,6 +14,12 @@
 	// maxCallsInPause is the number of calls that may arrive at a server from one
 	// daemon between pauseGrace and the end of the pause that it asked for.
 	maxCallsInPause = 2
+	// limitSpan is the span in which calls to a server with a limit are counted,
+	// limitContactTime the time after which all daemons keep the limit, limitTellTime
+	// the time in which a call is answered and the daemon knows of the limit.
+	limitSpan        = 4 * time.Second
+	limitContactTime = 3 * time.Second
+	limitTellTime    = 1500 * time.Millisecond
 )
 
 // daemonDisturbed records that a fault of a daemon, or of its way to a server, begins.
@@ -56,6 +63,41 @@
 			c.checkLeaving(b, daemon, arrivals, calls)
 			c.checkPauses(b, daemon, arrivals)
 		}
+		c.checkLimit(b, calls)
+	}
+}
+
+// checkLimit checks that all daemons together keep the limit of a server, from
+// limitContactTime after it first named one. Calls of a daemon count from
+// limitTellTime after its first call that reached the limited server; those of a
+// daemon that was disturbed since do not count.
+func (c *checker) checkLimit(b *backend, calls map[string]observedCall) {
+	var counted []time.Time
+	var named time.Time
+	limit := 0.0
+	told := map[string]time.Time{}
+	for _, a := range b.Arrivals() {
+		s, ok := calls[a.ID]
+		if !ok || a.Limit == "" {
+			continue
+		}
+		if named.IsZero() {
+			named = a.At
+			limit, _ = strconv.ParseFloat(a.Limit, 64)
+		}
+		if told[s.daemon].IsZero() {
+			told[s.daemon] = a.At
+		}
+		if a.At.After(named.Add(limitContactTime)) && a.At.After(told[s.daemon].Add(limitTellTime)) && !c.wasDisturbed(named, a.At, s.daemon) {
+			counted = append(counted, a.At)
+		}
+	}
+	allowed := int(1.5*limit*limitSpan.Seconds() + 5)
+	for i := allowed; i < len(counted); i++ {
+		if span := counted[i].Sub(counted[i-allowed]); span <= limitSpan {
+			c.addViolationLocked("%d calls reached %s in %v at a limit of %g a second; allowed %d", allowed+1, b.storeEntry.ID, span, limit, allowed)
+			return
+		}
 	}
 }
 
