retry: an evicted part is quarantined no longer

When more parts are quarantined than records are kept, the oldest is evicted. If the report of another daemon brings a new request record, that can happen without the list of quarantined parts being made anew, and the next check of a call with the part would end the daemon.

Shown failing before: TestEvictedPartIsNotQuarantined (nil dereference).

--- a/retry/part_test.go
+++ b/retry/part_test.go
@@ -244,3 +244,25 @@
 		is.Equal(len(s.ExportChanges()), maxExportedChanges)
 	})
 }
+
+// Guards against a daemon that ends when a quarantined part is evicted, because more
+// parts are quarantined than records are kept.
+func TestEvictedPartIsNotQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := NewSuspects()
+		f := &fleet{random: rngOf(1)}
+		for i := range 2 {
+			sentAt := time.Now()
+			time.Sleep(time.Second)
+			s.RecordCallCrash(f.keysOf("w", "tainted"), fmt.Sprint("server-", i), time.Now(), sentAt)
+			time.Sleep(time.Second)
+		}
+		is.Equal(s.QuarantinedParts(), 1)
+		for range 3 { // two calls and the part
+			s.evict()
+		}
+		is.NoErr(s.CheckCall(f.keysOf("w", "tainted"), ""))
+		is.Equal(s.QuarantinedParts(), 0)
+	})
+}
--- a/retry/suspects.go
+++ b/retry/suspects.go
@@ -211,6 +211,7 @@
 		}
 	}
 	k := s.order.Remove(e).(*suspect)
+	s.quarantineIsOld = s.quarantineIsOld || k.part.quarantined
 	delete(s.records, k.fingerprint)
 	delete(s.pending, k.fingerprint)
 }
