retry: reports of a cleared part do not move its clearing, and workspaces add up

Each daemon took the clearing of a part in a report for a later one, by the delay of the report, and passed it on. In a simulation of 60 daemons a clearing of 20 s ago seemed 1.1 s old; it would clear crashes that came after it. And a report of a crash that was known did not add its workspaces, so that a quarantine held for one workspace only although the calls of two had been unanswered. Found by reading the merge.

Change: a clearing within 5 s of the known one counts only if a crash lies between, as crash times of whole requests do; workspaces are merged with known crashes.

Shown failing before: TestClearingsDoNotMove, TestWorkspacesOfOneCrashAreMerged. The simulation now lets daemons report at different times.

--- a/retry/fleet_test.go
+++ b/retry/fleet_test.go
@@ -150,7 +150,7 @@
 		if n%5 == 0 {
 			l = d.ExportChanges()
 		}
-		if n%100 == 0 {
+		if (n+17*i)%100 == 0 {
 			l = append(l, d.Export()...)
 		}
 		for k, other := range f.daemons {
--- a/retry/part_test.go
+++ b/retry/part_test.go
@@ -245,6 +245,54 @@
 	})
 }
 
+// Guards against a clearing that looks later with each report, because each daemon adds
+// the delay of the one before it, and that clears crashes which came after it.
+func TestClearingsDoNotMove(t *testing.T) {
+	inFleet(t, 1, 60, 90, func(f *fleet) {
+		is := is.New(t)
+		k := f.keysOf("w0", "part")
+		f.daemons[0].RecordCallCrash(k, "server-x", time.Now(), time.Now())
+		for n := range 100 {
+			f.step(n)
+		}
+		f.daemons[1].RecordAnswer(k)
+		for n := range 2000 {
+			f.step(n)
+		}
+		age := time.Since(f.daemons[5].records[k.Parts[0]].Value.(*suspect).clearedAt)
+		t.Logf("the clearing seems %v old", age)
+		is.True(age >= 19*time.Second)
+		for n := range 800 {
+			if n%10 == 0 {
+				f.send(f.random.IntN(60), f.keysOf(fmt.Sprint("w", n%7), "part"), true)
+			}
+			f.step(n)
+		}
+		t.Logf("%d crashes, %d tainted calls sent", len(f.crashedAt), len(f.tainted))
+		is.True(f.taintedAfter(5) <= 3)
+	})
+}
+
+// Guards against a crash that several workspaces saw and that counts for one of them.
+func TestWorkspacesOfOneCrashAreMerged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, b := NewSuspects(), NewSuspects()
+		f := &fleet{random: rngOf(1)}
+		for i := range 2 {
+			sentAt := time.Now()
+			time.Sleep(time.Second)
+			server := fmt.Sprint("server-", i)
+			a.RecordCallCrash(f.keysOf("v", "tainted"), server, time.Now(), sentAt)
+			b.RecordCallCrash(f.keysOf("w", "tainted"), server, time.Now(), sentAt)
+			time.Sleep(time.Second)
+		}
+		is.NoErr(a.CheckCall(f.keysOf("x", "tainted"), "")) // seen with one workspace only
+		a.Import(b.Export())
+		expectCode(is, a.CheckCall(f.keysOf("x", "tainted"), ""), wigeonladder.CodeSuspect)
+	})
+}
+
 // Guards against a daemon that ends when a quarantined part is evicted, because more
 // parts are quarantined than records are kept.
 func TestEvictedPartIsNotQuarantined(t *testing.T) {
--- a/retry/suspicion.go
+++ b/retry/suspicion.go
@@ -153,6 +153,24 @@
 	return true
 }
 
+// contains reports whether a record that another daemon sent of the same part tells
+// nothing new.
+func (k *suspect) contains(v wigeonladder.Suspicion, clearedAt time.Time) bool {
+	return !k.expired() && !k.isNewClearing(clearedAt) && k.hasServers(v.Servers) &&
+		v.Trials <= k.part.trials && v.Independent <= k.part.independent &&
+		!slices.ContainsFunc(v.Workspaces, func(w string) bool { return !k.part.concerns(w) })
+}
+
+// isNewClearing reports whether a clearing that another daemon reported is not the one
+// that is known. Otherwise daemons that send each other the same clearing would move it
+// by the delay of each exchange, until it clears crashes that came after it.
+func (k *suspect) isNewClearing(at time.Time) bool {
+	if at.Sub(k.clearedAt) > sameCrashInterval {
+		return true
+	}
+	return at.After(k.clearedAt) && slices.ContainsFunc(k.crashes, func(c crash) bool { return !c.at.After(at) })
+}
+
 // mergePart merges the record of a part that another daemon sent.
 func (s *Suspects) mergePart(v wigeonladder.Suspicion, now time.Time) {
 	if len(v.CrashAgesMs) != len(v.Servers) || len(v.LeadsMs) != len(v.Servers) {
@@ -163,16 +181,13 @@
 	if v.ClearedAgeMs > 0 {
 		clearedAt = ago(v.ClearedAgeMs)
 	}
-	if e, known := s.records[v.Fingerprint]; known {
-		k := e.Value.(*suspect)
-		if !k.expired() && !clearedAt.After(k.clearedAt) && k.hasServers(v.Servers) && v.Trials <= k.part.trials && v.Independent <= k.part.independent {
-			return
-		}
+	if e, known := s.records[v.Fingerprint]; known && e.Value.(*suspect).contains(v, clearedAt) {
+		return
 	}
 	k := s.getOrCreate(v.Fingerprint, true)
 	defer s.restoreOrder(k)
 	s.quarantineIsOld = true
-	if clearedAt.After(k.clearedAt) {
+	if k.isNewClearing(clearedAt) {
 		k.clear(clearedAt)
 	}
 	for i, server := range v.Servers {
