--- a/review/_standin/extra_bytes.go
+++ b/review/_standin/extra_bytes.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// The disruption of cases 1 and 2, within the largest dose that the site's days have:
+// The disruption of cases 1 to 3, within the largest dose that the site's days have:
 // two of three replicas of a service (share 0.6), three in a hundred of their answers,
 // for 5 seconds.
 const (
--- a/review/_standin/late_write.go
+++ b/review/_standin/late_write.go
@@ -13,7 +13,7 @@
 	"github.com/wigeonladder/wigeonladder/platform/stub"
 )
 
-// Times of case 4, from the start of the disruption.
+// Times of case 5, from the start of the disruption.
 const (
 	lostFor   = 4500 * time.Millisecond // the store loses answers; the largest dose
 	lateBy    = 5900 * time.Millisecond // the pages name 1 to 6 s
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -21,7 +21,8 @@
 var cases = map[string]func(r *rig, trouble bool) bool{
 	"1": cutRefusal,
 	"2": cutSuccess,
-	"4": lateWrite,
+	"3": repeatedRefusal,
+	"5": lateWrite,
 }
 
 func main() {
