--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 runs it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/wigeonladder ] && [ -x target/review/standin ] || exit 2
-exec target/review/standin 4
+exec target/review/standin 5
