inventory: ignore entries that were written before the known one

Change: one place, versions, decides what is newer: the start, then the sequence, and the revision of the store. The last entry of a removed server is kept for the time of a late write. Entries carry their sequence.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -13,7 +13,6 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 
-	"github.com/wigeonladder/wigeonladder"
 	"github.com/wigeonladder/wigeonladder/backend"
 	"github.com/wigeonladder/wigeonladder/conn"
 	"github.com/wigeonladder/wigeonladder/exchange"
@@ -91,7 +90,7 @@
 	// store keys of the backend servers.
 	ConfigKey, ServersPrefix string
 	ParseConfig              func([]byte) (route.Document, error)
-	ParseServer              func(inventory.Item) (wigeonladder.Instance, error)
+	ParseServer              func(inventory.Item) (inventory.Entry, error)
 	CallerCodec              front.Codec
 	ServerCodec              backend.Codec
 	// ReadyPath is the path on which the platform checks readiness.
--- a/inventory/follower_test.go
+++ b/inventory/follower_test.go
@@ -295,11 +295,11 @@
 // the ID of its server; the value "bad" cannot be decoded.
 func newTestServerList() (*ServerList, *fakePool) {
 	x := &fakePool{servers: map[string]wigeonladder.Instance{}}
-	return NewServerList(x, func(i Item) (wigeonladder.Instance, error) {
+	return NewServerList(x, func(i Item) (Entry, error) {
 		if string(i.Value) == "bad" {
-			return wigeonladder.Instance{}, errors.New("unreadable")
+			return Entry{}, errors.New("unreadable")
 		}
-		return wigeonladder.Instance{ID: i.Key, Address: string(i.Value)}, nil
+		return Entry{Instance: wigeonladder.Instance{ID: i.Key, Address: string(i.Value)}}, nil
 	}, &eventJournal{}), x
 }
 
--- a/inventory/server_list.go
+++ b/inventory/server_list.go
@@ -21,21 +21,22 @@
 // ServerList keeps the backend servers whose entries are in the store.
 type ServerList struct {
 	pool    ServerPool
-	decode  func(Item) (wigeonladder.Instance, error)
+	decode  func(Item) (Entry, error)
 	journal wigeonladder.Journal
 
 	mu              sync.Mutex
 	entries         map[string]wigeonladder.Instance
+	versions        versions
 	pendingRemovals map[string]*time.Timer
 	regainedAt      time.Time
 }
 
 // NewServerList returns an empty list. decode reads the server from an item of
 // the store.
-func NewServerList(pool ServerPool, decode func(Item) (wigeonladder.Instance, error), j wigeonladder.Journal) *ServerList {
+func NewServerList(pool ServerPool, decode func(Item) (Entry, error), j wigeonladder.Journal) *ServerList {
 	return &ServerList{
 		pool: pool, decode: decode, journal: j,
-		entries: map[string]wigeonladder.Instance{}, pendingRemovals: map[string]*time.Timer{},
+		entries: map[string]wigeonladder.Instance{}, versions: versions{}, pendingRemovals: map[string]*time.Timer{},
 	}
 }
 
@@ -57,7 +58,7 @@
 	}
 	for key := range l.entries {
 		if !listed[key] {
-			l.removeEntry(key)
+			l.removeEntry(Item{Key: key, Removed: true, Revision: l.versions.revision(key)})
 		}
 	}
 }
@@ -80,10 +81,11 @@
 // server. It reports whether the change tells something new.
 func (l *ServerList) applyItem(i Item) bool {
 	if i.Removed {
-		l.removeEntry(i.Key)
+		l.removeEntry(i)
 		return true
 	}
-	s, err := l.decode(i)
+	e, err := l.decode(i)
+	s := e.Instance
 	if err != nil {
 		if _, known := l.entries[i.Key]; known {
 			l.removeServer(i.Key)
@@ -91,6 +93,9 @@
 		l.journal.Note("", "server_entry_unreadable", "key", i.Key, "revision", i.Revision, "error", err)
 		return true
 	}
+	if !l.versions.accept(i, e, time.Now()) {
+		return false
+	}
 	t := l.pendingRemovals[i.Key]
 	if t != nil {
 		t.Stop()
@@ -107,10 +112,14 @@
 	return isNew || t != nil
 }
 
-// removeEntry removes an entry and its server. If the store was just regained,
-// the entry may have expired because the server could not renew it during the
-// outage; the server is then kept until lapsedEntryGrace ends.
-func (l *ServerList) removeEntry(key string) {
+// removeEntry removes an entry and its server. If the store was just regained, the
+// entry may have expired because the server could not renew it during the outage; the
+// server is then kept until lapsedEntryGrace ends.
+func (l *ServerList) removeEntry(i Item) {
+	key := i.Key
+	if !l.versions.acceptRemoval(i, time.Now()) {
+		return
+	}
 	if _, known := l.entries[key]; !known || l.pendingRemovals[key] != nil {
 		return
 	}
