inventory: tell a partition of this daemon from an outage of the store

Change: a store that is up performs heartbeats all the time. If its revision rose at the usual rate during the silence, removals act at once. Otherwise, or if that is unknown, a removed server is kept until the store has gone on for two seconds after the removal, counted by its changes.

--- a/inventory/follower.go
+++ b/inventory/follower.go
@@ -64,7 +64,7 @@
 	Now         func() time.Duration
 	// OnStoreRegained is called when the store answers again after it was lost,
 	// before the answer is applied; nil for none.
-	OnStoreRegained func()
+	OnStoreRegained func(Outage)
 	Journal         wigeonladder.Journal
 }
 
@@ -73,6 +73,7 @@
 	options      Options
 	lastAnswer   time.Time
 	lost         bool
+	progress     progress
 	retryBackoff *backoff.ExponentialBackOff
 	// relayed is true if another daemon answered the last watch, relayFailedAt when
 	// last none did.
@@ -119,7 +120,7 @@
 		}
 		after = p.Items[len(p.Items)-1].Key
 	}
-	f.noteAnswer()
+	f.noteAnswer(Page{Revision: revision}, true)
 	f.options.Reset(items)
 	if f.options.Feed != nil {
 		f.options.Feed.close()
@@ -141,7 +142,7 @@
 			f.noteFailure(ctx, err)
 			continue
 		}
-		f.noteAnswer()
+		f.noteAnswer(p, false)
 		f.noteSource(p.Relayed)
 		var changes []Item
 		if len(p.Items) > 0 {
@@ -215,16 +216,20 @@
 	}
 }
 
-// noteAnswer records that the store answered.
-func (f *Follower) noteAnswer() {
+// noteAnswer records that the store answered with a page of changes, or with a list of
+// all items.
+func (f *Follower) noteAnswer(p Page, listed bool) {
+	now := time.Now()
 	if f.lost {
 		f.lost = false
-		f.options.Journal.Note("", "store_regained", "after", time.Since(f.lastAnswer))
+		o := f.progress.end(p, listed, now)
+		f.options.Journal.Note("", "store_regained", "after", now.Sub(f.lastAnswer), "store_away", o.StoreAway)
 		if f.options.OnStoreRegained != nil {
-			f.options.OnStoreRegained()
+			f.options.OnStoreRegained(o)
 		}
 	}
-	f.lastAnswer = time.Now()
+	f.progress.record(p.Revision, now)
+	f.lastAnswer = now
 	f.retryBackoff.Reset()
 }
 
--- a/inventory/follower_test.go
+++ b/inventory/follower_test.go
@@ -310,7 +310,7 @@
 		is := is.New(t)
 		r, x := newTestServerList()
 		r.Reset([]Item{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("1")}})
-		r.StoreRegained()
+		r.StoreRegained(Outage{StoreAway: true})
 		r.Reset(nil)
 		is.True(x.has("a") && x.has("b"))
 		time.Sleep(time.Second)
--- a/inventory/server_list.go
+++ b/inventory/server_list.go
@@ -28,7 +28,10 @@
 	entries         map[string]wigeonladder.Instance
 	versions        versions
 	pendingRemovals map[string]*time.Timer
-	regainedAt      time.Time
+	// outage is the last time without an answer of the store, which ended at
+	// regainedAt.
+	outage     Outage
+	regainedAt time.Time
 }
 
 // NewServerList returns an empty list. decode reads the server from an item of
@@ -41,10 +44,10 @@
 }
 
 // StoreRegained tells the list that the store answers again after an outage.
-func (l *ServerList) StoreRegained() {
+func (l *ServerList) StoreRegained(o Outage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.regainedAt = time.Now()
+	l.outage, l.regainedAt = o, time.Now()
 }
 
 // Reset replaces all entries.
@@ -112,9 +115,9 @@
 	return isNew || t != nil
 }
 
-// removeEntry removes an entry and its server. If the store was just regained, the
-// entry may have expired because the server could not renew it during the outage; the
-// server is then kept until lapsedEntryGrace ends.
+// removeEntry removes an entry and its server. If the store was away until just now,
+// the entry may have expired because the server could not renew it; the server is then
+// kept until the store has been back for lapsedEntryGrace.
 func (l *ServerList) removeEntry(i Item) {
 	key := i.Key
 	if !l.versions.acceptRemoval(i, time.Now()) {
@@ -123,8 +126,8 @@
 	if _, known := l.entries[key]; !known || l.pendingRemovals[key] != nil {
 		return
 	}
-	left := lapsedEntryGrace - time.Since(l.regainedAt)
-	if left <= 0 || l.regainedAt.IsZero() {
+	left := lapsedEntryGrace - max(time.Since(l.regainedAt), l.outage.since(i.Revision))
+	if left <= 0 || !l.outage.StoreAway {
 		l.removeServer(key)
 		return
 	}
