inventory: ask the other daemons whether the store was away

Cause: the revision of the store tells nothing about a silence: an entry whose sequence alone has changed is no change there, so that a store which is up is mostly still.

Change: each daemon records for how long the store has answered it without a silence of 2 s. One that regains the store asks the others; if one of them was answered all the while, the store was not away and removals act at once. If none was, or none can be asked, lapsed entries are kept for 2 s as before. The measurement of changes goes.

TestOwnPartitionIsNoOutageOfTheStore fails with the answer fixed either way.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -177,13 +177,13 @@
 	if err != nil {
 		return errors.Wrap(err, "peer")
 	}
-	feed := inventory.NewFeed(uptime)
+	feed, contact := inventory.NewFeed(uptime), inventory.NewContact(uptime)
 	d.mesh.Store(exchange.New(ctx, exchange.Options{
 		Self:     exchange.Member{Name: s.Name, Zone: s.Zone, Address: s.PeerAddress, Incarnation: incarnation},
 		Listener: peers, Dial: dial, Seeds: func() []string { return *d.seeds.Load() },
-		Export: d.exportReport, Import: d.importReport, Known: d.known, Learn: d.learn, Feed: feed, Journal: d.journal,
+		Export: d.exportReport, Import: d.importReport, Known: d.known, Learn: d.learn, Feed: feed, StoreContact: contact.Unbroken, Journal: d.journal,
 	}))
-	d.followStore(ctx, feed)
+	d.followStore(ctx, feed, contact)
 	if err := d.serveCallers(ctx); err != nil {
 		return err
 	}
@@ -217,7 +217,7 @@
 // followStore follows the configuration and the backend servers in the store. A
 // single watch of all items takes fewer calls than one watch for each kind. While
 // another daemon of the zone reads the store, the changes come from that one.
-func (d *Daemon) followStore(ctx context.Context, feed *inventory.Feed) {
+func (d *Daemon) followStore(ctx context.Context, feed *inventory.Feed, contact *inventory.Contact) {
 	p := d.platform
 	// split applies the configuration if it is among the items, and returns the
 	// items of the configuration and those of backend servers.
@@ -249,7 +249,11 @@
 		},
 		Feed:        feed,
 		OnSource:    d.storeRelayed.Store,
-		OnConfirmed: d.tableStore.Confirm, OnStoreRegained: d.serverList.StoreRegained, Now: uptime, Journal: d.journal,
+		OnConfirmed: d.tableStore.Confirm, Contact: contact,
+		OnStoreRegained: func(silence time.Duration) {
+			d.serverList.StoreRegained(ctx, silence, d.mesh.Load().StoreContact)
+		},
+		Now: uptime, Journal: d.journal,
 	})
 }
 
--- a/exchange/mesh.go
+++ b/exchange/mesh.go
@@ -66,8 +66,11 @@
 	Learn func(r Report)
 	// Feed offers what this daemon reads from the store to the daemons of its zone;
 	// nil for none.
-	Feed    *inventory.Feed
-	Journal wigeonladder.Journal
+	Feed *inventory.Feed
+	// StoreContact returns for how long the store has answered this daemon without a
+	// break; nil if it does not follow one.
+	StoreContact func() time.Duration
+	Journal      wigeonladder.Journal
 }
 
 // Mesh connects one daemon to all others and exchanges reports with them.
@@ -184,6 +187,8 @@
 		return reply, nil
 	case methodWatch:
 		return m.handleWatch(ctx, *q.Params)
+	case methodContact:
+		return m.handleContact()
 	case methodReport, methodRelay, methodRelayed, methodPass:
 		from, l, err := unpack(*q.Params)
 		if err != nil {
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -22,6 +22,8 @@
 	methodPass = "pass"
 	// methodWatch asks the daemon that reads the store for the zone for changes.
 	methodWatch = "watch"
+	// methodContact asks a daemon for how long the store has answered it.
+	methodContact = "contact"
 )
 
 // Member identifies one daemon.
--- a/inventory/follower.go
+++ b/inventory/follower.go
@@ -62,9 +62,11 @@
 	// the time on the clock Now at which the call began; nil for none.
 	OnConfirmed func(at time.Duration)
 	Now         func() time.Duration
-	// OnStoreRegained is called when the store answers again after it was lost,
-	// before the answer is applied; nil for none.
-	OnStoreRegained func(Outage)
+	// Contact records the answers of the store; nil for none.
+	Contact *Contact
+	// OnStoreRegained is called with the time without an answer when the store answers
+	// again after it was lost, before the answer is applied; nil for none.
+	OnStoreRegained func(silence time.Duration)
 	Journal         wigeonladder.Journal
 }
 
@@ -73,7 +75,6 @@
 	options      Options
 	lastAnswer   time.Time
 	lost         bool
-	progress     progress
 	retryBackoff *backoff.ExponentialBackOff
 	// relayed is true if another daemon answered the last watch, relayFailedAt when
 	// last none did.
@@ -120,7 +121,7 @@
 		}
 		after = p.Items[len(p.Items)-1].Key
 	}
-	f.noteAnswer(Page{Revision: revision}, true)
+	f.noteAnswer()
 	f.options.Reset(items)
 	if f.options.Feed != nil {
 		f.options.Feed.close()
@@ -142,7 +143,7 @@
 			f.noteFailure(ctx, err)
 			continue
 		}
-		f.noteAnswer(p, false)
+		f.noteAnswer()
 		f.noteSource(p.Relayed)
 		var changes []Item
 		if len(p.Items) > 0 {
@@ -216,20 +217,20 @@
 	}
 }
 
-// noteAnswer records that the store answered with a page of changes, or with a list of
-// all items.
-func (f *Follower) noteAnswer(p Page, listed bool) {
-	now := time.Now()
+// noteAnswer records that the store answered.
+func (f *Follower) noteAnswer() {
+	if f.options.Contact != nil {
+		f.options.Contact.record()
+	}
 	if f.lost {
 		f.lost = false
-		o := f.progress.end(p, listed, now)
-		f.options.Journal.Note("", "store_regained", "after", now.Sub(f.lastAnswer), "store_away", o.StoreAway)
+		silence := time.Since(f.lastAnswer)
+		f.options.Journal.Note("", "store_regained", "after", silence)
 		if f.options.OnStoreRegained != nil {
-			f.options.OnStoreRegained(o)
+			f.options.OnStoreRegained(silence)
 		}
 	}
-	f.progress.record(p.Revision, now)
-	f.lastAnswer = now
+	f.lastAnswer = time.Now()
 	f.retryBackoff.Reset()
 }
 
--- a/inventory/server_list.go
+++ b/inventory/server_list.go
@@ -28,9 +28,8 @@
 	entries         map[string]wigeonladder.Instance
 	versions        versions
 	pendingRemovals map[string]*time.Timer
-	// outage is the last time without an answer of the store, which ended at
-	// regainedAt.
-	outage     Outage
+	// regainedAt is when the store answered again after a silence in which it may have
+	// been away; zero if there was none.
 	regainedAt time.Time
 }
 
@@ -43,13 +42,6 @@
 	}
 }
 
-// StoreRegained tells the list that the store answers again after an outage.
-func (l *ServerList) StoreRegained(o Outage) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.outage, l.regainedAt = o, time.Now()
-}
-
 // Reset replaces all entries.
 func (l *ServerList) Reset(items []Item) {
 	l.mu.Lock()
@@ -115,9 +107,9 @@
 	return isNew || t != nil
 }
 
-// removeEntry removes an entry and its server. If the store was away until just now,
-// the entry may have expired because the server could not renew it; the server is then
-// kept until the store has been back for lapsedEntryGrace.
+// removeEntry removes an entry and its server. If the store may have been away until
+// just now, the entry may have expired because the server could not renew it; the
+// server is then kept until lapsedEntryGrace ends.
 func (l *ServerList) removeEntry(i Item) {
 	key := i.Key
 	if !l.versions.acceptRemoval(i, time.Now()) {
@@ -126,8 +118,8 @@
 	if _, known := l.entries[key]; !known || l.pendingRemovals[key] != nil {
 		return
 	}
-	left := lapsedEntryGrace - max(time.Since(l.regainedAt), l.outage.since(i.Revision))
-	if left <= 0 || !l.outage.StoreAway {
+	left := lapsedEntryGrace - time.Since(l.regainedAt)
+	if left <= 0 || l.regainedAt.IsZero() {
 		l.removeServer(key)
 		return
 	}
