cmd/wigeonladder: check a routing configuration before it is sent

Cause: operators learn from refused calls that a configuration names a service that is not there, or a route that never matches.

Change: check routing lists errors, entries that can never match, limits that contradict each other, and what differs from the version in force, as a table or as JSON.

--- a/cmd/wigeonladder/check.go
+++ b/cmd/wigeonladder/check.go
@@ -15,12 +15,18 @@
 // newCheck returns the command that validates a file and lists every error
 // with its place.
 func newCheck() command {
-	s := newSubcommand("check", "validate settings, configuration, register or rules and list every error")
+	s := newSubcommand("check", "validate settings, configuration, register, rules or routing and list every error")
 	kind, file, register := "", "", ""
-	s.AddPositionalValue(&kind, "kind", 1, true, "settings, config, register or rules")
+	var o routingOptions
+	s.AddPositionalValue(&kind, "kind", 1, true, "settings, config, register, rules or routing (the configuration of the edge daemons)")
 	s.AddPositionalValue(&file, "file", 2, true, "JSON file")
 	s.String(&register, "r", "register", "register that rules refer to; needed for rules")
+	s.String(&o.inForce, "f", "in-force", "routing in force, to list what differs from it")
+	s.Bool(&o.json, "j", "json", "print the result of a check of routing as JSON")
 	return command{sub: s, run: func(_ context.Context, out io.Writer) error {
+		if kind == "routing" {
+			return checkRouting(out, file, o)
+		}
 		if err := checkFile(kind, file, register); err != nil {
 			return err
 		}
@@ -45,7 +51,7 @@
 	case "rules":
 		err = checkRules(file, data, register)
 	default:
-		err = errors.Errorf("kind %q is not one of settings, config, register, rules", kind)
+		err = errors.Errorf("kind %q is not one of settings, config, register, rules, routing", kind)
 	}
 	return err
 }
