--- a/route/check.go
+++ b/route/check.go
@@ -215,8 +215,10 @@
 		name  string
 		value float64
 	}{
-		{"maxHeaderBytes", float64(l.MaxHeader)}, {"maxBodyBytes", float64(l.MaxBody)},
-		{"headerTimeoutMs", float64(l.HeaderTimeout / time.Millisecond)}, {"idleTimeoutMs", float64(l.IdleTimeout / time.Millisecond)},
+		{"maxHeaderBytes", float64(l.MaxHeader)},
+		{"maxBodyBytes", float64(l.MaxBody)},
+		{"headerTimeoutMs", float64(l.HeaderTimeout / time.Millisecond)},
+		{"idleTimeoutMs", float64(l.IdleTimeout / time.Millisecond)},
 	} {
 		if x.value < 0 {
 			c.mistake("limits."+x.name, "%v is negative", x.value)
