inventory, place: send nothing to the servers of an evacuated zone

Nothing read the keys under op/evacuate/, so that the servers of a zone that an administrator had asked to evacuate went on getting calls. A ZoneList now keeps these zones, whatever the values of the keys, and passes changes on to the daemons that follow the store over this one. The servers count as unavailable in the pool, which all paths ask, the last check before sending included; calls that wait move to others, or are refused at once if there are none.

The setting evacuate bounds the time between two reads of the store; without it that time is as before. The store part of the daemon moves to a file of its own.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -6,7 +6,6 @@
 	"net"
 	"runtime/debug"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -28,18 +27,6 @@
 )
 
 const (
-	// storeWatchTimeout is the time for which one watch of the store waits for a change. Each
-	// answer confirms that the known API keys are still in force.
-	storeWatchTimeout = 700 * time.Millisecond
-	// watchPauseFraction is the time between two watches, during which changes
-	// accumulate, as a fraction of the time within which changes have to be in
-	// force. The entries of backend servers change at every heartbeat, so without
-	// the pause each change would cost a call of the store. The rest of the time
-	// leaves room for a slow answer and one lost call.
-	watchPauseFraction = 0.4
-	// relayWaitMargin is the time after its next read of the store within which the
-	// daemon that reads for others must answer; otherwise the store is read directly.
-	relayWaitMargin = 250 * time.Millisecond
 	// keyTrustMargin is subtracted from the time for which API keys are trusted.
 	// It covers a watch that reports a change as much as a second late.
 	keyTrustMargin = 1300 * time.Millisecond
@@ -87,12 +74,13 @@
 	// Store reads the platform's store.
 	Store inventory.Store
 	// ConfigKey is the store key of the configuration. ServersPrefix begins the
-	// store keys of the backend servers.
-	ConfigKey, ServersPrefix string
-	ParseConfig              func([]byte) (route.Document, error)
-	ParseServer              func(inventory.Item) (inventory.Entry, error)
-	CallerCodec              front.Codec
-	ServerCodec              backend.Codec
+	// store keys of the backend servers, EvacuationPrefix those of the availability
+	// zones to which nothing is to be sent.
+	ConfigKey, ServersPrefix, EvacuationPrefix string
+	ParseConfig                                func([]byte) (route.Document, error)
+	ParseServer                                func(inventory.Item) (inventory.Entry, error)
+	CallerCodec                                front.Codec
+	ServerCodec                                backend.Codec
 	// ReadyPath is the path on which the platform checks readiness.
 	ReadyPath string
 }
@@ -115,6 +103,7 @@
 	tableStore *route.TableStore
 	pool       *place.Pool
 	serverList *inventory.ServerList
+	zoneList   *inventory.ZoneList
 	// mesh is nil until the exchange has started. The pool starts before it and
 	// already asks for the number of daemons.
 	mesh     atomic.Pointer[exchange.Mesh]
@@ -173,6 +162,7 @@
 		Name: s.Name, Zone: s.Zone, Shares: d.counters, Window: d.window, LiveDaemons: d.liveDaemons, Members: d.otherMembers,
 	})
 	d.serverList = inventory.NewServerList(d.pool, d.platform.ParseServer, d.journal)
+	d.zoneList = inventory.NewZoneList(d.pool, d.platform.EvacuationPrefix, d.journal)
 	peers, err := conn.Listen(ctx, s.PeerAddress)
 	if err != nil {
 		return errors.Wrap(err, "peer")
@@ -214,67 +204,6 @@
 	return max(d.liveDaemons(), len(d.mesh.Load().PeerAddresses())+1)
 }
 
-// followStore follows the configuration and the backend servers in the store. A
-// single watch of all items takes fewer calls than one watch for each kind. While
-// another daemon of the zone reads the store, the changes come from that one.
-func (d *Daemon) followStore(ctx context.Context, feed *inventory.Feed) {
-	p := d.platform
-	// split applies the configuration if it is among the items, and returns the
-	// items of the configuration and those of backend servers.
-	split := func(items []inventory.Item) (configs, servers []inventory.Item) {
-		for _, i := range items {
-			switch {
-			case i.Key == p.ConfigKey && !i.Removed:
-				d.applyConfig(i)
-				configs = append(configs, i)
-			case strings.HasPrefix(i.Key, p.ServersPrefix):
-				servers = append(servers, i)
-			}
-		}
-		return configs, servers
-	}
-	relayWait := watchPause(d.settings) + relayWaitMargin
-	go inventory.Follow(ctx, inventory.Options{
-		Store: p.Store, WatchTimeout: storeWatchTimeout, WatchPause: watchPause(d.settings),
-		Reset: func(items []inventory.Item) {
-			_, servers := split(items)
-			d.serverList.Reset(servers)
-		},
-		Apply: func(items []inventory.Item) []inventory.Item {
-			configs, servers := split(items)
-			return append(configs, d.serverList.Apply(servers)...)
-		},
-		Relay: func(ctx context.Context, after int64) (inventory.Page, error) {
-			return d.mesh.Load().WatchStore(ctx, after, relayWait)
-		},
-		Feed:        feed,
-		OnSource:    d.storeRelayed.Store,
-		OnConfirmed: d.tableStore.Confirm, OnStoreRegained: d.serverList.StoreRegained, Now: uptime, Journal: d.journal,
-	})
-}
-
-// watchPause returns the time between two watches of the store.
-func watchPause(s setting.Edge) time.Duration {
-	return time.Duration(watchPauseFraction * float64(min(s.MaxApplyDelay, s.MaxLeaveDelay)))
-}
-
-// applyConfig puts the configuration of a store item in force, unless it cannot
-// be read or is not accepted.
-func (d *Daemon) applyConfig(i inventory.Item) {
-	doc, err := d.platform.ParseConfig(i.Value)
-	if err != nil {
-		d.journal.Note("", "config_unreadable", "revision", i.Revision, "error", err)
-		return
-	}
-	if !d.tableStore.Accept(doc) {
-		return
-	}
-	d.pool.SetServices(doc.Services)
-	d.window.SetCapacity(doc.Limits.TokensPerSecond)
-	d.journal.Note("", "config_accepted", "version", doc.Version, "revision", i.Revision,
-		"routes", len(doc.Routes), "workspaces", len(doc.Workspaces))
-}
-
 // serveCallers starts to serve callers and to answer readiness checks.
 func (d *Daemon) serveCallers(ctx context.Context) error {
 	s := d.settings
--- a/edge/operator.go
+++ b/edge/operator.go
@@ -34,11 +34,13 @@
 	ConfigVersion int64  `json:"version"`
 	ConfigAge     string `json:"configurationAge"`
 	// StoreRelayed is true while another daemon reads the store for this one.
-	StoreRelayed bool               `json:"relayed"`
-	LiveDaemons  int                `json:"daemons"`
-	Peers        []string           `json:"peers"`
-	Servers      []place.ServerDump `json:"servers"`
-	Shares       fair.WindowDump    `json:"shares"`
+	StoreRelayed bool     `json:"relayed"`
+	LiveDaemons  int      `json:"daemons"`
+	Peers        []string `json:"peers"`
+	// EvacuatedZones are the zones whose servers get no calls.
+	EvacuatedZones []string           `json:"evacuated,omitempty"`
+	Servers        []place.ServerDump `json:"servers"`
+	Shares         fair.WindowDump    `json:"shares"`
 }
 
 // Dump returns the state of the daemon.
@@ -47,7 +49,7 @@
 	s := Dump{
 		Name: d.settings.Name, Zone: d.settings.Zone, Ready: d.Ready(), Leaving: d.leaving.Load(),
 		OpenCalls: d.front.OpenCalls(), ConfigAge: age.String(), StoreRelayed: d.storeRelayed.Load(), LiveDaemons: d.liveDaemons(), Peers: d.mesh.Load().PeerAddresses(), Servers: d.pool.Dump(),
-		Shares: d.window.Dump(),
+		Shares: d.window.Dump(), EvacuatedZones: d.pool.EvacuatedZones(),
 	}
 	if t := d.tableStore.Table(); t != nil {
 		s.ConfigVersion = t.Version()
@@ -72,6 +74,7 @@
 	vars.Set("daemons", expvar.Func(func() any { return d.liveDaemons() }))
 	vars.Set("reportsSent", expvar.Func(func() any { n, _ := d.mesh.Load().SentTotals(); return n }))
 	vars.Set("reportBytesSent", expvar.Func(func() any { _, n := d.mesh.Load().SentTotals(); return n }))
+	vars.Set("evacuatedZones", expvar.Func(func() any { return d.pool.EvacuatedZones() }))
 	vars.Set("ready", expvar.Func(func() any { return d.Ready() }))
 	s := &fasthttp.Server{
 		NoDefaultServerHeader: true,
--- /dev/null
+++ b/edge/store.go
@@ -0,0 +1,117 @@
+package edge
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/wigeonladder/wigeonladder/inventory"
+	"github.com/wigeonladder/wigeonladder/setting"
+)
+
+const (
+	// storeWatchTimeout is the time for which one watch of the store waits for a change. Each
+	// answer confirms that the known API keys are still in force.
+	storeWatchTimeout = 700 * time.Millisecond
+	// watchPauseFraction is the time between two watches, during which changes
+	// accumulate, as a fraction of the time within which changes have to be in
+	// force. The entries of backend servers change at every heartbeat, so without
+	// the pause each change would cost a call of the store. The rest of the time
+	// leaves room for a slow answer and one lost call.
+	watchPauseFraction = 0.4
+	// relayWaitMargin is the time after its next read of the store within which the
+	// daemon that reads for others must answer; otherwise the store is read directly.
+	relayWaitMargin = 250 * time.Millisecond
+)
+
+// followStore follows the configuration, the evacuated zones and the backend servers in
+// the store. A single watch of all items takes fewer calls than one watch for each
+// kind. While another daemon of the zone reads the store, the changes come from that
+// one.
+func (d *Daemon) followStore(ctx context.Context, feed *inventory.Feed) {
+	p := d.platform
+	relayWait := watchPause(d.settings) + relayWaitMargin
+	go inventory.Follow(ctx, inventory.Options{
+		Store: p.Store, WatchTimeout: storeWatchTimeout, WatchPause: watchPause(d.settings),
+		Reset: d.resetItems,
+		Apply: d.applyItems,
+		Relay: func(ctx context.Context, after int64) (inventory.Page, error) {
+			return d.mesh.Load().WatchStore(ctx, after, relayWait)
+		},
+		Feed:        feed,
+		OnSource:    d.storeRelayed.Store,
+		OnConfirmed: d.tableStore.Confirm, OnStoreRegained: d.serverList.StoreRegained, Now: uptime, Journal: d.journal,
+	})
+}
+
+// resetItems replaces all items of the store. The configuration and the evacuated zones
+// come first, since they restrict the calls to the servers.
+func (d *Daemon) resetItems(items []inventory.Item) {
+	x := d.sortItems(items)
+	d.applyConfigs(x.configs)
+	d.zoneList.Reset(x.zones)
+	d.serverList.Reset(x.servers)
+}
+
+// applyItems applies changes of items of the store and returns those that told
+// something new.
+func (d *Daemon) applyItems(items []inventory.Item) []inventory.Item {
+	x := d.sortItems(items)
+	d.applyConfigs(x.configs)
+	changes := append(x.configs, d.zoneList.Apply(x.zones)...)
+	return append(changes, d.serverList.Apply(x.servers)...)
+}
+
+// storeItems are items of the store by their kind.
+type storeItems struct{ configs, zones, servers []inventory.Item }
+
+// sortItems returns items by their kind. The removal of the configuration is none: the
+// known one stays in force.
+func (d *Daemon) sortItems(items []inventory.Item) storeItems {
+	var x storeItems
+	p := d.platform
+	for _, i := range items {
+		switch {
+		case i.Key == p.ConfigKey && !i.Removed:
+			x.configs = append(x.configs, i)
+		case strings.HasPrefix(i.Key, p.EvacuationPrefix):
+			x.zones = append(x.zones, i)
+		case strings.HasPrefix(i.Key, p.ServersPrefix):
+			x.servers = append(x.servers, i)
+		}
+	}
+	return x
+}
+
+// watchPause returns the time between two watches of the store.
+func watchPause(s setting.Edge) time.Duration {
+	shortest := min(s.MaxApplyDelay, s.MaxLeaveDelay)
+	if s.MaxEvacuationDelay > 0 {
+		shortest = min(shortest, s.MaxEvacuationDelay)
+	}
+	return time.Duration(watchPauseFraction * float64(shortest))
+}
+
+// applyConfigs puts configurations in force in their order.
+func (d *Daemon) applyConfigs(items []inventory.Item) {
+	for _, i := range items {
+		d.applyConfig(i)
+	}
+}
+
+// applyConfig puts the configuration of a store item in force, unless it cannot
+// be read or is not accepted.
+func (d *Daemon) applyConfig(i inventory.Item) {
+	doc, err := d.platform.ParseConfig(i.Value)
+	if err != nil {
+		d.journal.Note("", "config_unreadable", "revision", i.Revision, "error", err)
+		return
+	}
+	if !d.tableStore.Accept(doc) {
+		return
+	}
+	d.pool.SetServices(doc.Services)
+	d.window.SetCapacity(doc.Limits.TokensPerSecond)
+	d.journal.Note("", "config_accepted", "version", doc.Version, "revision", i.Revision,
+		"routes", len(doc.Routes), "workspaces", len(doc.Workspaces))
+}
--- /dev/null
+++ b/inventory/zone_list.go
@@ -0,0 +1,116 @@
+package inventory
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/wigeonladder/wigeonladder"
+)
+
+// ZonePool receives the zones of a ZoneList.
+type ZonePool interface {
+	// SetEvacuatedZones replaces the availability zones whose servers get no calls.
+	SetEvacuatedZones(zones []string)
+}
+
+// ZoneList keeps the availability zones that an administrator has asked to evacuate.
+// The key of an item names the zone; its value has no meaning.
+type ZoneList struct {
+	pool    ZonePool
+	prefix  string
+	journal wigeonladder.Journal
+
+	mu sync.Mutex
+	// zones holds the newest state of each zone that was ever evacuated.
+	zones map[string]zoneState
+}
+
+// zoneState is whether a zone is evacuated, and the revision of the change that tells
+// it.
+type zoneState struct {
+	evacuated bool
+	revision  int64
+}
+
+// NewZoneList returns an empty list. The keys of its items begin with a prefix.
+func NewZoneList(pool ZonePool, prefix string, j wigeonladder.Journal) *ZoneList {
+	return &ZoneList{pool: pool, prefix: prefix, journal: j, zones: map[string]zoneState{}}
+}
+
+// Reset replaces all zones.
+func (l *ZoneList) Reset(items []Item) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before := l.evacuated()
+	listed := map[string]bool{}
+	for _, i := range items {
+		listed[strings.TrimPrefix(i.Key, l.prefix)] = true
+		l.applyItem(i)
+	}
+	for zone, x := range l.zones {
+		if !listed[zone] {
+			l.zones[zone] = zoneState{revision: x.revision}
+		}
+	}
+	l.publish(before)
+}
+
+// Apply applies changes of zones. It returns those that told something new.
+func (l *ZoneList) Apply(items []Item) []Item {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before := l.evacuated()
+	var changes []Item
+	for _, i := range items {
+		if l.applyItem(i) {
+			changes = append(changes, i)
+		}
+	}
+	l.publish(before)
+	return changes
+}
+
+// applyItem applies one change and reports whether it is newer than what is known. A
+// watch repeats changes that a list has already shown.
+func (l *ZoneList) applyItem(i Item) bool {
+	zone := strings.TrimPrefix(i.Key, l.prefix)
+	if zone == "" || i.Revision <= l.zones[zone].revision {
+		return false
+	}
+	l.zones[zone] = zoneState{evacuated: !i.Removed, revision: i.Revision}
+	return true
+}
+
+// evacuated returns the evacuated zones, sorted.
+func (l *ZoneList) evacuated() []string {
+	var zones []string
+	for _, zone := range slices.Sorted(maps.Keys(l.zones)) {
+		if l.zones[zone].evacuated {
+			zones = append(zones, zone)
+		}
+	}
+	return zones
+}
+
+// publish passes the zones on if they differ from those before. A batch of changes has
+// one effect, so that a zone whose evacuation ended long ago is not evacuated for a
+// moment.
+func (l *ZoneList) publish(before []string) {
+	zones := l.evacuated()
+	if slices.Equal(before, zones) {
+		return
+	}
+	for _, zone := range zones {
+		if !slices.Contains(before, zone) {
+			l.journal.Note("", "zone_evacuated", "zone", zone, "revision", l.zones[zone].revision)
+		}
+	}
+	for _, zone := range before {
+		if !slices.Contains(zones, zone) {
+			l.journal.Note("", "zone_restored", "zone", zone, "revision", l.zones[zone].revision)
+		}
+	}
+	l.pool.SetEvacuatedZones(zones)
+}
--- a/place/availability.go
+++ b/place/availability.go
@@ -26,6 +26,9 @@
 	Blocked
 	// Probing means that a call tries whether the server can be reached again.
 	Probing
+	// Evacuated means that an administrator has asked to send nothing to the zone of
+	// the server.
+	Evacuated
 	// Limited means that the server named a limit for all daemons, of which this one
 	// has no part, or has used it.
 	Limited
@@ -34,7 +37,7 @@
 )
 
 // unavailabilityNames are the names of the reasons in logs and dumps.
-var unavailabilityNames = [unavailabilities]string{"", "leaving", "reported_leaving", "paused", "unreachable", "probing", "limited"}
+var unavailabilityNames = [unavailabilities]string{"", "leaving", "reported_leaving", "paused", "unreachable", "probing", "evacuated", "limited"}
 
 // String returns the name of the reason; an empty string for Available.
 func (u Unavailability) String() string { return unavailabilityNames[u] }
@@ -160,6 +163,8 @@
 	switch n := s.notice; {
 	case s.instance.Leaving:
 		return Leaving
+	case s.evacuated:
+		return Evacuated
 	case n == nil:
 		return Available
 	case n.leaving:
@@ -208,7 +213,7 @@
 // false if that is not known.
 func (s *server) timeLeft(now time.Time) (time.Duration, bool) {
 	switch s.unavailability(now) {
-	case Leaving, Limited:
+	case Leaving, Evacuated, Limited:
 		return 0, false
 	case ReportedLeaving:
 		return s.notice.reportedUntil.Sub(now), true
--- a/place/pool.go
+++ b/place/pool.go
@@ -48,6 +48,8 @@
 	// leaving contains the servers that said since the last report that they leave.
 	leaving []LeavingServer
 	notices notices
+	// evacuatedZones contains the availability zones whose servers get no calls.
+	evacuatedZones map[string]bool
 	// limited contains the servers with a limit in force. The limits were last divided
 	// at dividedAt. limitReports contains the limits of the next report.
 	// limitLifetime differs between daemons.
@@ -157,6 +159,7 @@
 		g.servers[i.ID] = s
 		p.watchLimit(s, time.Now())
 	}
+	g.servers[i.ID].evacuated = p.evacuatedZones[i.Zone]
 	p.servers[i.ID] = g.servers[i.ID]
 	g.sort()
 	p.drain(g)
--- a/place/server.go
+++ b/place/server.go
@@ -77,6 +77,8 @@
 	probing      bool
 	// heardAt is the time of the last answer to a call of this daemon.
 	heardAt time.Time
+	// evacuated is true while no calls may be sent to the zone of the server.
+	evacuated bool
 	// notice contains the restrictions on calls to this incarnation; nil without any.
 	notice *notice
 	// part is this daemon's part of the limit that the server named.
--- a/setting/edge.go
+++ b/setting/edge.go
@@ -35,12 +35,15 @@
 	// calls.
 	MaxApplyDelay Duration `json:"apply"`
 	MaxLeaveDelay Duration `json:"leave"`
+	// MaxEvacuationDelay is the longest time until the backend servers of a zone that is
+	// evacuated get no more calls; 0 means that no bound is promised.
+	MaxEvacuationDelay Duration `json:"evacuate"`
 	// RetryBudget bounds the retries of all daemons together.
 	RetryBudget RetryBudget `json:"retry"`
 }
 
-// minApplyOrLeaveDelay is the smallest value of MaxApplyDelay and MaxLeaveDelay. The
-// store is polled several times within these delays.
+// minApplyOrLeaveDelay is the smallest value of MaxApplyDelay and MaxLeaveDelay, and of
+// MaxEvacuationDelay if it is a bound. The store is polled several times within these delays.
 const minApplyOrLeaveDelay = 500 * time.Millisecond
 
 // minMemoryMB and minOpenFiles are the smallest values of MemoryMB and
@@ -93,6 +96,9 @@
 				c.addUnlessRejected(x.key, "must be at least %s", minApplyOrLeaveDelay)
 			}
 		}
+		if s.MaxEvacuationDelay != 0 && time.Duration(s.MaxEvacuationDelay) < minApplyOrLeaveDelay {
+			c.addUnlessRejected("evacuate", "must be 0s or at least %s", minApplyOrLeaveDelay)
+		}
 		if s.MemoryMB < minMemoryMB {
 			c.addUnlessRejected("memory", "must be at least %d", minMemoryMB)
 		}
