fair: the service given bounds the capacity that is divided

Cause: shares were computed from the configured capacity, 2.4 million tokens a second, of which the servers began 1.2 million. The larger workspace was within its share of 9.6 million in 4 s, so that its calls at seventeen daemons had the same standing as those of the smaller one at one daemon.

Change: while calls are throttled and demand exceeds service by a tenth, the service given in that time bounds the capacity. TestLostCapacityIsShared fails before (8,160 of 48,000 units) and passes after (38,100).

--- a/fair/ring.go
+++ b/fair/ring.go
@@ -42,3 +42,14 @@
 	}
 	return s
 }
+
+// last returns the sum over the n steps before the current one; n is less than
+// windowSteps.
+func (g *ring) last(step int64, n int) float64 {
+	g.advance(step)
+	s := 0.0
+	for i := int64(1); i <= int64(n); i++ {
+		s += g.parts[(g.step-i+windowSteps)%windowSteps]
+	}
+	return s
+}
--- a/fair/window.go
+++ b/fair/window.go
@@ -1,8 +1,6 @@
 package fair
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"time"
 )
@@ -112,9 +110,14 @@
 	start   time.Time
 	daemons func() int
 
-	mu       sync.Mutex
-	rows     map[string]*windowRow
-	capacity float64
+	mu   sync.Mutex
+	rows map[string]*windowRow
+	// capacity is the configured capacity in cost units per second, 0 if unknown.
+	// asked is the demand and served the service of all workspaces. throttling is the
+	// time since which some workspace has been throttled, zero while none is.
+	capacity      float64
+	asked, served ring
+	throttling    time.Time
 	// level is the max-min level of service in the window, as of levelAt; 0 if
 	// the capacity is unknown.
 	level   float64
@@ -174,6 +177,7 @@
 		r.ownTotals.Demand += cost
 		r.demand.add(w.step(now), float64(cost))
 		r.ownDemand.add(w.step(now), float64(cost))
+		w.asked.add(w.step(now), float64(cost))
 		w.dirty[workspace] = true
 	}
 }
@@ -187,6 +191,7 @@
 		r.ownTotals.Service += cost
 		r.service.add(w.step(now), float64(cost))
 		r.ownService.add(w.step(now), float64(cost))
+		w.served.add(w.step(now), float64(cost))
 		w.dirty[workspace] = true
 	}
 }
@@ -297,13 +302,14 @@
 		return
 	}
 	w.levelAt = now
+	w.updateThrottling(now)
 	demands := make([]float64, 0, len(w.rows))
 	for _, r := range w.rows {
 		if demand := r.demand.sum(w.step(now)); demand > 0 {
 			demands = append(demands, demand)
 		}
 	}
-	w.level = maxMinLevel(demands, w.capacity*(windowStep*windowSteps).Seconds())
+	w.level = maxMinLevel(demands, w.availableService(now))
 	w.lead = minLead + (maxLead-minLead)*smallFleetDaemons/float64(max(w.daemons(), smallFleetDaemons))
 	w.hasStarved = false
 	for _, r := range w.rows {
@@ -335,24 +341,6 @@
 	return now.Sub(r.throttledAt) < throttledFor && service < starvedDemandFraction*demand-starvedLevelMargin*w.level
 }
 
-// maxMinLevel returns the level up to which all demands can be met with a
-// capacity; 0 if the capacity is unknown.
-func maxMinLevel(demands []float64, capacity float64) float64 {
-	if capacity <= 0 {
-		return 0
-	}
-	slices.SortFunc(demands, cmp.Compare[float64])
-	left := capacity
-	for i, d := range demands {
-		even := left / float64(len(demands)-i)
-		if d > even {
-			return even
-		}
-		left -= d
-	}
-	return capacity
-}
-
 // Export returns the totals that have changed since the last export.
 func (w *Window) Export() []WorkspaceTotals {
 	w.mu.Lock()
@@ -384,10 +372,14 @@
 		}
 		if last, known := r.peerTotals[from]; known {
 			r.demand.add(w.step(now), float64(max(t.Demand-last.demand, 0)))
+			w.asked.add(w.step(now), float64(max(t.Demand-last.demand, 0)))
 			r.service.add(w.step(now), float64(max(t.Service-last.service, 0)))
+			w.served.add(w.step(now), float64(max(t.Service-last.service, 0)))
 		} else {
 			r.demand.spread(w.step(now), float64(t.RecentDemand))
+			w.asked.spread(w.step(now), float64(t.RecentDemand))
 			r.service.spread(w.step(now), float64(t.RecentService))
+			w.served.spread(w.step(now), float64(t.RecentService))
 		}
 		r.peerTotals[from] = peerTotals{demand: t.Demand, service: t.Service, at: now}
 		if t.Throttled {
