fair: a workspace is starved by a few calls, whatever the capacity

Cause: the margin below which a workspace does not count as starved is a sixteenth of the level, 250,000 tokens there, as much as the workspace asked for in a second.

Change: the margin is at most three calls of the largest size seen here. TestSmallWorkspaceIsStarved fails before and passes after.

--- a/fair/capacity_test.go
+++ b/fair/capacity_test.go
@@ -137,3 +137,29 @@
 		is.New(t).Equal(recovered, int64(8*12000))
 	})
 }
+
+// Guards against a starved workspace that others are not held back for because it asks
+// for little compared with the capacity.
+func TestSmallWorkspaceIsStarved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		standing := func(served int) Standing {
+			w := NewWindow(nil)
+			w.SetCapacity(100000)
+			for i := range 20 {
+				w.RecordDemand("small", 1000)
+				if i < served {
+					w.RecordService("small", 1000)
+				}
+			}
+			w.RecordThrottled("small")
+			for range 1000 {
+				w.RecordDemand("large", 1000)
+			}
+			w.RecordService("large", 500000)
+			return w.Standing("large")
+		}
+		is := is.New(t)
+		is.Equal(standing(8), IdleOnly)
+		is.Equal(standing(10), AboveShare)
+	})
+}
--- a/fair/ring.go
+++ b/fair/ring.go
@@ -53,3 +53,24 @@
 	}
 	return s
 }
+
+// recentMax is the maximum of the values of the last one to two windows.
+type recentMax struct {
+	window            int64
+	current, previous float64
+}
+
+// add adds v in a step.
+func (m *recentMax) add(step int64, v float64) {
+	if window := step / windowSteps; window != m.window {
+		m.previous = 0
+		if window == m.window+1 {
+			m.previous = m.current
+		}
+		m.window, m.current = window, 0
+	}
+	m.current = max(m.current, v)
+}
+
+// value returns the maximum.
+func (m *recentMax) value() float64 { return max(m.current, m.previous) }
--- a/fair/window.go
+++ b/fair/window.go
@@ -34,12 +34,14 @@
 	// receives nearly all of its demand is not starved; some of its calls are
 	// only placed late.
 	starvedDemandFraction = 0.6
-	// starvedLevelMargin is the fraction of the max-min level by which the
+	// starvedLevelMargin is the fraction of the max-min level, and
+	// starvedCallsMargin the number of the largest calls, by the lower of which the
 	// service of a starved workspace has to be below that part of its demand.
 	// Otherwise a single large call that waits would make a small workspace,
 	// which is served first anyway, hold back all others while servers are
 	// idle.
 	starvedLevelMargin = 1.0 / 16
+	starvedCallsMargin = 3
 	// maxDebt is the fraction by which the service of a workspace may count as
 	// more than that of the least served starved workspace. What it received
 	// beyond that was spare when it was given, or could not be prevented in time.
@@ -118,6 +120,8 @@
 	capacity      float64
 	asked, served ring
 	throttling    time.Time
+	// largestCost is the highest cost of a recent call at this daemon.
+	largestCost recentMax
 	// level is the max-min level of service in the window, as of levelAt; 0 if
 	// the capacity is unknown.
 	level   float64
@@ -178,6 +182,7 @@
 		r.demand.add(w.step(now), float64(cost))
 		r.ownDemand.add(w.step(now), float64(cost))
 		w.asked.add(w.step(now), float64(cost))
+		w.largestCost.add(w.step(now), float64(cost))
 		w.dirty[workspace] = true
 	}
 }
@@ -338,7 +343,8 @@
 // its demand that others have to be held back.
 func (w *Window) isStarved(r *windowRow, service float64, now time.Time) bool {
 	demand := r.demand.sum(w.step(now))
-	return now.Sub(r.throttledAt) < throttledFor && service < starvedDemandFraction*demand-starvedLevelMargin*w.level
+	margin := min(starvedLevelMargin*w.level, starvedCallsMargin*w.largestCost.value())
+	return now.Sub(r.throttledAt) < throttledFor && service < starvedDemandFraction*demand-margin
 }
 
 // Export returns the totals that have changed since the last export.
