place, inventory: keep to the rate of cold servers over the whole fleet

The time now marks the server as cold in the pool, which divides coldPerS over few daemons with the machinery for limits that servers name. The parts leave room for what they have accumulated, for the spread of arrivals and for a daemon that does not know the others; they count all daemons that were heard in the last minute, so that both sides of a cut keep to the rate. A daemon that has just started has no part.

A server also counts as cold for coldStartS after its zone was evacuated, and after it could not be reached: the store tells of a restart only later. Without coldPerS nothing changes. division.go takes the division from limit.go.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -159,7 +159,8 @@
 	d.window = fair.NewWindow(d.liveDaemons)
 	d.relay = backend.NewRelay(d.platform.ServerCodec)
 	d.pool = place.NewPool(ctx, place.Options{
-		Name: s.Name, Zone: s.Zone, Shares: d.counters, Window: d.window, LiveDaemons: d.liveDaemons, Members: d.otherMembers,
+		Name: s.Name, Zone: s.Zone, Shares: d.counters, Window: d.window, LiveDaemons: d.liveDaemons, Members: d.otherMembers, KnownMembers: d.knownMembers,
+		Cold: place.ColdBound{Overage: float64(s.Cold.Overage), Slack: float64(s.Cold.Slack)},
 	})
 	d.serverList = inventory.NewServerList(d.pool, d.platform.ParseServer, d.journal)
 	d.zoneList = inventory.NewZoneList(d.pool, d.platform.EvacuationPrefix, d.journal)
@@ -197,6 +198,14 @@
 	return nil
 }
 
+// knownMembers returns the other daemons that may be at work.
+func (d *Daemon) knownMembers() []place.Member {
+	if m := d.mesh.Load(); m != nil {
+		return m.KnownMembers()
+	}
+	return nil
+}
+
 // knownDaemons returns the number of daemons that may draw on the budgets that
 // all daemons share. It includes known daemons that cannot be reached now,
 // because they may still be at work behind a partition.
--- a/edge/observe.go
+++ b/edge/observe.go
@@ -32,7 +32,7 @@
 		if s.Waiting == 0 && s.Running == 0 {
 			continue
 		}
-		d.journal.Note("", "load", "service", s.Service, "servers", s.Servers, "available", s.Available, "running", s.Running,
+		d.journal.Note("", "load", "service", s.Service, "servers", s.Servers, "available", s.Available, "evacuated", s.Evacuated, "cold", s.Cold, "running", s.Running,
 			"waiting", s.Waiting, "waiting_tokens", s.WaitingTokens, "mean_wait", s.MeanWait, "wasted", s.WastedCost,
 			"sweep_delay", stats.SweepDelay, "open", d.front.OpenCalls(), "connections", d.front.OpenConns(), "shed", d.front.ShedConns(), "daemons", d.liveDaemons())
 	}
--- a/exchange/members.go
+++ b/exchange/members.go
@@ -34,6 +34,25 @@
 	return l
 }
 
+// knownTime is the time after its last valid report for which a daemon may still be at
+// work behind a partition.
+const knownTime = time.Minute
+
+// KnownMembers returns the other daemons that may be at work: those with a report that
+// is valid, or was within knownTime.
+func (m *Mesh) KnownMembers() []place.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var l []place.Member
+	now := time.Now()
+	for name, o := range m.origins {
+		if now.Before(o.validUntil.Add(knownTime)) {
+			l = append(l, place.Member{Name: name, Zone: o.zone})
+		}
+	}
+	return l
+}
+
 // PeerAddresses returns the addresses of the daemons that this one connects to,
 // sorted.
 func (m *Mesh) PeerAddresses() []string {
--- a/inventory/entry.go
+++ b/inventory/entry.go
@@ -15,6 +15,8 @@
 	wigeonladder.Instance
 	// Sequence counts the entries that this start of the server has written.
 	Sequence int64
+	// ColdTime is how long the server stays cold after it has written the entry.
+	ColdTime time.Duration
 }
 
 // isOlderThan reports whether the server wrote the entry before another one. The
--- a/inventory/follower_test.go
+++ b/inventory/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -267,6 +268,7 @@
 type fakePool struct {
 	mu      sync.Mutex
 	servers map[string]wigeonladder.Instance
+	cold    []string
 }
 
 // Put implements ServerPool.
@@ -283,6 +285,14 @@
 	delete(x.servers, id)
 }
 
+// MarkCold implements ServerPool.
+func (x *fakePool) MarkCold(i wigeonladder.Instance, d time.Duration) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.cold = append(x.cold, fmt.Sprint(i.ID, " ", d))
+	return true
+}
+
 // has reports whether the pool has a server.
 func (x *fakePool) has(id string) bool {
 	x.mu.Lock()
--- a/inventory/server_list.go
+++ b/inventory/server_list.go
@@ -16,6 +16,9 @@
 type ServerPool interface {
 	Put(i wigeonladder.Instance)
 	Remove(id string)
+	// MarkCold tells that a server, which may not be known yet, stays cold for a time.
+	// It reports whether that changes the calls that the server gets.
+	MarkCold(i wigeonladder.Instance, d time.Duration) bool
 }
 
 // ServerList keeps the backend servers whose entries are in the store.
@@ -96,9 +99,16 @@
 		l.journal.Note("", "server_entry_unreadable", "key", i.Key, "revision", i.Revision, "error", err)
 		return true
 	}
+	// An entry that is read again tells nothing of the present: its cold time counts
+	// from when it was written.
+	repeated := i.Revision > 0 && i.Revision == l.versions.revision(i.Key)
 	if !l.versions.accept(i, e, time.Now()) {
 		return false
 	}
+	isCold := e.ColdTime > 0 && !repeated
+	if isCold && l.pool.MarkCold(s, e.ColdTime) {
+		l.journal.Note("", "server_cold", "server", s.ID, "service", s.Service, "zone", s.Zone, "left", e.ColdTime, "revision", i.Revision)
+	}
 	t := l.pendingRemovals[i.Key]
 	if t != nil {
 		t.Stop()
@@ -112,7 +122,7 @@
 			"address", s.Address, "leaving", s.Leaving, "born", s.StartUnixMs, "revision", i.Revision)
 		l.pool.Put(s)
 	}
-	return isNew || t != nil
+	return isNew || isCold || t != nil
 }
 
 // removeEntry removes an entry and its server. If the store was away until just now,
--- a/place/availability.go
+++ b/place/availability.go
@@ -29,6 +29,9 @@
 	// Evacuated means that an administrator has asked to send nothing to the zone of
 	// the server.
 	Evacuated
+	// Cold means that the server is cold, and this daemon has no part of the calls that
+	// it takes until it is not, or has used it.
+	Cold
 	// Limited means that the server named a limit for all daemons, of which this one
 	// has no part, or has used it.
 	Limited
@@ -37,7 +40,7 @@
 )
 
 // unavailabilityNames are the names of the reasons in logs and dumps.
-var unavailabilityNames = [unavailabilities]string{"", "leaving", "reported_leaving", "paused", "unreachable", "probing", "evacuated", "limited"}
+var unavailabilityNames = [unavailabilities]string{"", "leaving", "reported_leaving", "paused", "unreachable", "probing", "evacuated", "cold", "limited"}
 
 // String returns the name of the reason; an empty string for Available.
 func (u Unavailability) String() string { return unavailabilityNames[u] }
@@ -74,6 +77,9 @@
 	reportedUntil time.Time
 	pausedUntil   time.Time
 	limit         limit
+	// coldUntil is the time until which the server is cold, as the store says, or as
+	// is supposed after an evacuation.
+	coldUntil time.Time
 }
 
 // notices keeps the notices of the incarnations that gave one most recently.
@@ -160,25 +166,33 @@
 // forbidden returns the reason for which no call may be sent to the server, whatever
 // this daemon's own attempts to reach it showed.
 func (s *server) forbidden(now time.Time) Unavailability {
-	switch n := s.notice; {
+	n := s.notice
+	switch {
 	case s.instance.Leaving:
 		return Leaving
 	case s.evacuated:
 		return Evacuated
-	case n == nil:
-		return Available
-	case n.leaving:
+	case n != nil && n.leaving:
 		return Leaving
-	case now.Before(n.pausedUntil):
+	case n != nil && now.Before(n.pausedUntil):
 		return Paused
-	case now.Before(n.reportedUntil):
+	case n != nil && now.Before(n.reportedUntil):
 		return ReportedLeaving
 	case s.part.watched && s.part.rate == 0:
-		return Limited
+		return s.limitReason(now)
 	}
 	return Available
 }
 
+// limitReason returns the reason for which this daemon has only a part of the calls that
+// the server takes.
+func (s *server) limitReason(now time.Time) Unavailability {
+	if s.coldLeft(now) > 0 {
+		return Cold
+	}
+	return Limited
+}
+
 // unavailability returns the reason for which the server may not get a request now.
 func (s *server) unavailability(now time.Time) Unavailability {
 	if u := s.forbidden(now); u != Available {
@@ -201,7 +215,7 @@
 		return u
 	}
 	if s.part.wait(0, now) > 0 {
-		return Limited
+		return s.limitReason(now)
 	}
 	return Available
 }
@@ -215,6 +229,8 @@
 	switch s.unavailability(now) {
 	case Leaving, Evacuated, Limited:
 		return 0, false
+	case Cold:
+		return s.coldLeft(now), true
 	case ReportedLeaving:
 		return s.notice.reportedUntil.Sub(now), true
 	case Paused:
--- a/place/dump.go
+++ b/place/dump.go
@@ -38,6 +38,8 @@
 	// if it named one, and LimitPart the number that this daemon may send.
 	Limit     float64 `json:"limit,omitempty"`
 	LimitPart float64 `json:"part,omitempty"`
+	// ColdTime is the time for which the server still counts as cold.
+	ColdTime time.Duration `json:"cold,omitempty"`
 	// Waiting is the number of calls that wait in this daemon for the service.
 	Waiting int `json:"waiting"`
 }
@@ -58,7 +60,10 @@
 				Unavailable: s.occupancy(now).String(),
 			}
 			if s.part.watched {
-				r.Limit, r.LimitPart = s.notice.limit.perSecond, s.part.rate
+				r.LimitPart, r.ColdTime = s.part.rate, s.coldLeft(now)
+			}
+			if n := s.notice; s.part.watched && n != nil && n.limit.named {
+				r.Limit = n.limit.perSecond
 			}
 			r.TimeLeft, _ = s.timeLeft(now)
 			if s.cache != nil {
--- a/place/evacuation.go
+++ b/place/evacuation.go
@@ -8,7 +8,8 @@
 
 // SetEvacuatedZones replaces the availability zones whose servers get no calls. Jobs
 // that wait for one of these servers move to others at once, or are refused if there
-// are none. Calls that run are not affected.
+// are none. Calls that run are not affected. The servers of a zone whose evacuation ends
+// count as cold: the store says only later whether they are.
 func (p *Pool) SetEvacuatedZones(zones []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -19,6 +20,9 @@
 	}
 	for _, g := range p.services {
 		for _, s := range g.order {
+			if s.evacuated && !p.evacuatedZones[s.instance.Zone] {
+				p.warmUp(s, now)
+			}
 			s.evacuated = p.evacuatedZones[s.instance.Zone]
 		}
 		g.lastDrain = time.Time{}
--- a/place/limit.go
+++ b/place/limit.go
@@ -1,21 +1,13 @@
 package place
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/wigeonladder/wigeonladder"
 )
 
 const (
-	// limitMin is the rate at which a server is called that names a lower limit, even
-	// 0, so that its answers tell when the limit ends.
-	limitMin = 0.05
-	// limitBurst is the time over which a part of a limit accumulates; at least one
-	// call always does.
-	limitBurst = 100 * time.Millisecond
 	// limitLifetime is the time for which a limit holds that neither an answer nor a
 	// report confirms. Half as much again is added by chance, so that the daemons of a
 	// fleet do not call the server together.
@@ -25,19 +17,8 @@
 	// limitEndReports is the time for which the end of a limit is reported again when
 	// further answers confirm it.
 	limitEndReports = 10 * time.Second
-	// memberPeriod is the time between two divisions of the limits.
-	memberPeriod = 200 * time.Millisecond
 )
 
-// Member is a daemon that takes calls.
-type Member struct{ Name, Zone string }
-
-// hashedMember is a Member with the hash of its name.
-type hashedMember struct {
-	Member
-	hash uint64
-}
-
 // limit is the number of requests a second that an incarnation of a server takes from
 // all daemons together.
 type limit struct {
@@ -149,7 +130,7 @@
 	now := time.Now()
 	l := make([]ServerLimit, 0, len(p.limited))
 	for _, s := range p.limited {
-		if n := s.notice; n.limit.named {
+		if n := s.notice; n != nil && n.limit.named {
 			l = append(l, n.limit.report(s.instance, now))
 		}
 	}
@@ -202,120 +183,6 @@
 	}
 }
 
-// watchLimit begins to divide the limit of a server if one is in force.
-func (p *Pool) watchLimit(s *server, now time.Time) {
-	if s.notice == nil || !s.notice.limit.named || s.part.watched {
-		return
-	}
-	s.part = limitPart{watched: true, refilledAt: now}
-	p.limited = append(p.limited, s)
-	s.part.rate = partOf(s, p.members())
-}
-
-// members returns the daemons that share the limits; this one is always the first.
-func (p *Pool) members() []hashedMember {
-	l := []hashedMember{{Member{p.options.Name, p.options.Zone}, nameHash(p.options.Name)}}
-	if p.options.Members == nil {
-		return l
-	}
-	for _, m := range p.options.Members() {
-		l = append(l, hashedMember{m, nameHash(m.Name)})
-	}
-	return l
-}
-
-// updateLimits divides the limits anew, since daemons come and go, and ends those that
-// nothing has confirmed for a long time.
-func (p *Pool) updateLimits(now time.Time) {
-	if len(p.limited) == 0 || now.Sub(p.dividedAt) < memberPeriod {
-		return
-	}
-	p.dividedAt = now
-	members := p.members()
-	p.limited = slices.DeleteFunc(p.limited, func(s *server) bool {
-		n := s.notice
-		if n.limit.named && now.Sub(n.limit.namedAt) > p.limitLifetime {
-			n.limit.named = false
-		}
-		if !n.limit.named || p.servers[s.instance.ID] != s {
-			s.part = limitPart{}
-			return true
-		}
-		s.part.refill(now)
-		s.part.rate = partOf(s, members)
-		return false
-	})
-}
-
-// partOf returns the requests a second that the first of the daemons may send to a server with a
-// limit. Few daemons have a part, so that none gets less than about a request a second:
-// parts of a hundred daemons would either be lost or come due together. All daemons
-// choose the same ones by rendezvous hashing, those in the zone of the server first.
-func partOf(s *server, members []hashedMember) float64 {
-	perSecond := max(s.notice.limit.perSecond, limitMin)
-	parts := max(int(min(perSecond, float64(len(members)))), 1)
-	rank := func(m hashedMember) (otherZone bool, weight uint64) {
-		return m.Zone != s.instance.Zone, mix(m.hash ^ s.hash)
-	}
-	ownOther, ownWeight := rank(members[0])
-	before := 0
-	for _, m := range members[1:] {
-		other, weight := rank(m)
-		if other != ownOther {
-			if ownOther {
-				before++
-			}
-			continue
-		}
-		if cmp.Or(cmp.Compare(weight, ownWeight), cmp.Compare(members[0].Name, m.Name)) > 0 {
-			before++
-		}
-	}
-	if before >= parts {
-		return 0
-	}
-	return perSecond / float64(parts)
-}
-
-// limitPart is the part of a server's limit that this daemon may use.
-type limitPart struct {
-	// watched is true while a limit is in force.
-	watched bool
-	// rate is the number of requests a second; 0 without a part.
-	rate float64
-	// calls is the number of calls that may be sent at refilledAt.
-	calls      float64
-	refilledAt time.Time
-}
-
-// refill adds the calls that may be sent since the last refill.
-func (l *limitPart) refill(now time.Time) {
-	most := max(l.rate*limitBurst.Seconds(), 1)
-	l.calls = min(l.calls+l.rate*now.Sub(l.refilledAt).Seconds(), most)
-	l.refilledAt = now
-}
-
-// take takes one call.
-func (l *limitPart) take(now time.Time) {
-	if l.watched {
-		l.refill(now)
-		l.calls--
-	}
-}
-
-// wait returns the time until a call may be sent after a number of others; 0 without a
-// limit.
-func (l *limitPart) wait(callsBefore int, now time.Time) time.Duration {
-	if !l.watched {
-		return 0
-	}
-	if l.rate == 0 {
-		return limitLifetime
-	}
-	missing := float64(callsBefore+1) - l.calls - l.rate*now.Sub(l.refilledAt).Seconds()
-	return time.Duration(max(missing, 0) / l.rate * float64(time.Second))
-}
-
 // limitWait returns the time until the parts of limits allow one call more than those
 // that wait; retryDelayMax if this daemon has no part.
 func (g *serviceState) limitWait() time.Duration {
--- a/place/pool.go
+++ b/place/pool.go
@@ -29,6 +29,11 @@
 	LiveDaemons func() int
 	// Members returns the other daemons that take calls; nil for none.
 	Members func() []Member
+	// KnownMembers returns the other daemons that may be at work, also if they do not
+	// reach this one; nil for those of Members.
+	KnownMembers func() []Member
+	// Cold bounds the requests that a cold server gets.
+	Cold ColdBound
 }
 
 // Pool places calls on backend servers. It is safe for concurrent use.
@@ -57,6 +62,7 @@
 	dividedAt     time.Time
 	limitReports  []ServerLimit
 	limitLifetime time.Duration
+	startedAt     time.Time
 	remote        *remoteDaemons
 	// unread contains the leases whose first token has not arrived.
 	unread map[*Lease]struct{}
@@ -73,6 +79,7 @@
 	name    string
 	engine  *route.Engine
 	runTime runTime
+	cold    coldRule
 	servers map[string]*server
 	// order contains the servers sorted by name, so that the choice among
 	// servers of equal rank does not vary.
@@ -100,7 +107,7 @@
 	p := &Pool{
 		options: o, services: map[string]*serviceState{}, servers: map[string]*server{}, used: map[*server]struct{}{}, notices: notices{byIncarnation: map[incarnation]*notice{}},
 		limitLifetime: limitLifetime + rand.N(limitLifetime/2), // #nosec G404
-		remote:        newRemoteDaemons(), unread: map[*Lease]struct{}{}, sweptAt: time.Now(),
+		remote:        newRemoteDaemons(), unread: map[*Lease]struct{}{}, sweptAt: time.Now(), startedAt: time.Now(),
 	}
 	go func() {
 		t := time.NewTicker(sweepPeriod)
@@ -155,6 +162,7 @@
 		s.instance = i
 	} else {
 		s := newServer(i, g.engine, &g.runTime)
+		s.cold = &g.cold
 		s.notice = p.notices.byIncarnation[incarnationOf(i)]
 		g.servers[i.ID] = s
 		p.watchLimit(s, time.Now())
@@ -189,9 +197,10 @@
 	defer p.mu.Unlock()
 	for _, v := range services {
 		g := p.serviceState(v.Name)
-		g.engine = v.Engine
+		g.engine, g.cold = v.Engine, newColdRule(v, p.options.Cold)
 		for _, s := range g.servers {
 			s.setEngine(v.Engine)
+			p.watchLimit(s, time.Now())
 		}
 	}
 }
@@ -321,7 +330,7 @@
 	now := time.Now()
 	l.firstTokenAt = now
 	s.updateLatencyRatio(l.ExpectedFirstToken, now.Sub(l.sentAt))
-	s.hear(now)
+	p.recordHeard(s, now)
 	p.drain(p.serviceState(l.job.Service))
 }
 
@@ -354,7 +363,7 @@
 	switch r {
 	case Completed:
 		s.recordOutcome(false, now)
-		s.hear(now)
+		p.recordHeard(s, now)
 		if l.gotFirstToken {
 			s.runTime.record(now.Sub(l.firstTokenAt))
 		}
@@ -365,7 +374,7 @@
 		// A server that answered meanwhile is alive; the connection was slow to open
 		// because the link of this daemon, or the server, is congested.
 		if !p.isLate(now) && s.heardAt.Before(l.sentAt) {
-			s.blockUnreachable(now)
+			p.recordUnreachable(p.serviceState(l.job.Service), s, now)
 		}
 	case Inconclusive:
 	}
--- a/place/server.go
+++ b/place/server.go
@@ -81,7 +81,14 @@
 	evacuated bool
 	// notice contains the restrictions on calls to this incarnation; nil without any.
 	notice *notice
-	// part is this daemon's part of the limit that the server named.
+	// cold is the rule for cold servers of the service. restarted is true after the
+	// server could not be reached, until it answers; it counts as cold until
+	// restartUntil.
+	cold         *coldRule
+	restarted    bool
+	restartUntil time.Time
+	// part is this daemon's part of the limit that the server named, or of the calls
+	// that it takes while it is cold.
 	part limitPart
 	// queuedTokens is the number of prompt tokens of the jobs that wait in this
 	// daemon for the server, queuedJobs the number of these jobs.
--- a/place/stats.go
+++ b/place/stats.go
@@ -20,6 +20,9 @@
 	// Servers is the number of backend servers, Available the number of those
 	// that take calls.
 	Servers, Available int
+	// Evacuated is the number of servers in evacuated zones, Cold the number of cold
+	// servers whose calls are limited.
+	Evacuated, Cold int
 	// Waiting is the number of jobs that wait, WaitingTokens the number of their
 	// prompt tokens.
 	Waiting, WaitingTokens int
@@ -61,6 +64,12 @@
 	wait := time.Duration(0)
 	for _, s := range g.order {
 		t.Running += s.own.running
+		if s.evacuated {
+			t.Evacuated++
+		}
+		if s.coldLeft(now) > 0 {
+			t.Cold++
+		}
 		if s.available(now) {
 			t.Available++
 			wait += s.expectedWait()
--- a/route/document.go
+++ b/route/document.go
@@ -68,6 +68,10 @@
 	HealthPath string
 	// MaxConns bounds the connections of all callers together to one server.
 	MaxConns int
+	// ColdStart is how long a server is cold after its start, ColdPerSecond the number
+	// of requests a second that it takes meanwhile; 0 if it takes as many as otherwise.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 	// Engine is set for model services.
 	Engine *Engine
 }
--- a/setting/edge.go
+++ b/setting/edge.go
@@ -38,6 +38,8 @@
 	// MaxEvacuationDelay is the longest time until the backend servers of a zone that is
 	// evacuated get no more calls; 0 means that no bound is promised.
 	MaxEvacuationDelay Duration `json:"evacuate"`
+	// Cold bounds the requests that a cold backend server gets from all daemons together.
+	Cold ColdBound `json:"cold"`
 	// RetryBudget bounds the retries of all daemons together.
 	RetryBudget RetryBudget `json:"retry"`
 }
@@ -53,6 +55,13 @@
 	minOpenFiles = 256
 )
 
+// ColdBound bounds the requests that a cold backend server gets in any second: Overage
+// times the rate that the configuration names, plus Slack.
+type ColdBound struct {
+	Overage Decimal `json:"overage"`
+	Slack   Decimal `json:"slack"`
+}
+
 // RetryBudget bounds the retries that all daemons together may make of calls to
 // one service: in each Period, Ratio times the number of calls plus Slack.
 type RetryBudget struct {
@@ -71,6 +80,7 @@
 		ShutdownGracePeriod: Duration(8 * time.Second),
 		MaxApplyDelay:       Duration(2 * time.Second),
 		MaxLeaveDelay:       Duration(2 * time.Second),
+		Cold:                ColdBound{Overage: 1},
 		RetryBudget:         RetryBudget{Ratio: 0.1, Slack: 10, Period: Duration(10 * time.Second)},
 	}
 }
