place: give parts in a cold server to daemons of all zones

When a zone came back cold, its own daemons had all parts, and those of the zone with the most calls none. The parts now go to daemons of all zones, and to as many as the bound allows. TestColdServerOfAFleet now has the cold server alone, so that all calls compete for it: it asserts the same bounds, and sees 1,012 calls in a second without the rule.

--- a/place/cold.go
+++ b/place/cold.go
@@ -51,7 +51,7 @@
 
 // divideCold divides the requests a second that a cold server takes so that the bound
 // holds in any second. In a second and the spread of arrivals, a part allows its rate
-// and what it has accumulated. The fewest parts are used that allow the most.
+// and what it has accumulated. The most parts are used that allow the most, so that many daemons have one.
 func divideCold(perSecond float64, b ColdBound) division {
 	most := perSecond*b.Overage + b.Slack
 	best, sum := division{1, limitMin}, limitMin
@@ -60,7 +60,7 @@
 		each := most / float64(parts+spare)
 		span := 1 + coldSpread.Seconds()
 		rate := min((each-1)/span, each/(span+limitBurst.Seconds()), perSecond/float64(parts))
-		if rate*float64(parts) > sum {
+		if rate*float64(parts) >= sum {
 			best, sum = division{parts, rate}, rate*float64(parts)
 		}
 	}
@@ -69,12 +69,13 @@
 
 // coldRate returns the requests a second that this daemon may send to a cold server. It
 // counts all daemons that may be at work: those that are cut off from this one may still
-// reach the server.
+// reach the server. The zones do not matter: the daemons of the server's zone may have
+// few calls, or may have started together with the server.
 func (p *Pool) coldRate(s *server, known []hashedMember, now time.Time) float64 {
 	if now.Sub(p.startedAt) < coldSettleTime {
 		return 0
 	}
-	return s.cold.division.rate(rankOf(s, known))
+	return s.cold.division.rate(rankOf(s, known, false))
 }
 
 // coldLeft returns the time for which the server still counts as cold; 0 if it does not.
--- a/place/cold_test.go
+++ b/place/cold_test.go
@@ -55,17 +55,15 @@
 		Members: others(f.hears), KnownMembers: others(known), Cold: ColdBound{1.5, 5},
 	})
 	p.SetServices(coldServices())
-	for i := range f.zones {
-		p.Put(f.server(i))
-	}
+	p.Put(f.coldServer())
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.pools[name] = p
 }
 
-// server returns the server of a zone.
-func (f *limitFleet) server(zone int) wigeonladder.Instance {
-	return wigeonladder.Instance{ID: fmt.Sprint("m", zone), Service: "model", Zone: fmt.Sprint("zone-", zone), Slots: 48}
+// coldServer returns the only server, so that all calls compete for it.
+func (f *limitFleet) coldServer() wigeonladder.Instance {
+	return wigeonladder.Instance{ID: "m0", Service: "model", Zone: "zone-0", Slots: 48}
 }
 
 // mostInASecond returns the most arrivals of calls at a server in any second from a time
@@ -118,7 +116,7 @@
 					}
 					f.run(coldSettleTime, 1000)
 					for _, d := range f.names() {
-						time.AfterFunc(time.Duration(f.random.Int64N(int64(coldReadTime))), func() { f.pools[d].MarkCold(f.server(0), coldTime) })
+						time.AfterFunc(time.Duration(f.random.Int64N(int64(coldReadTime))), func() { f.pools[d].MarkCold(f.coldServer(), coldTime) })
 					}
 					f.run(coldReadTime, 1000)
 					from := time.Now()
--- a/place/division.go
+++ b/place/division.go
@@ -54,10 +54,10 @@
 
 // rankOf returns how many daemons come before the first one when parts of a limit of a
 // server are given out. All daemons choose the same ones by rendezvous hashing, those
-// in the zone of the server first.
-func rankOf(s *server, members []hashedMember) int {
+// in the zone of the server first if zoneFirst is true.
+func rankOf(s *server, members []hashedMember, zoneFirst bool) int {
 	rank := func(m hashedMember) (otherZone bool, weight uint64) {
-		return m.Zone != s.instance.Zone, mix(m.hash ^ s.hash)
+		return zoneFirst && m.Zone != s.instance.Zone, mix(m.hash ^ s.hash)
 	}
 	ownOther, ownWeight := rank(members[0])
 	before := 0
@@ -128,7 +128,7 @@
 func (p *Pool) partRate(s *server, d daemons, now time.Time) float64 {
 	rate := math.Inf(1)
 	if n := s.notice; n != nil && n.limit.named {
-		rate = divideLimit(n.limit.perSecond, len(d.live)).rate(rankOf(s, d.live))
+		rate = divideLimit(n.limit.perSecond, len(d.live)).rate(rankOf(s, d.live, true))
 	}
 	if s.coldLeft(now) > 0 {
 		rate = min(rate, p.coldRate(s, d.known, now))
