front: bound the memory and descriptors that callers make a daemon hold

Cause: fasthttp reads a whole body before the handler runs, and nothing counted what callers made the daemon hold: bodies that never end, answers that are read slowly, connections without a request. Refused connections and those of the readiness and metrics servers counted against no limit of descriptors.

front now serves connections itself, with fasthttp's messages and parsers. A body takes memory as it arrives, out of one budget (package memory, a fifth of the setting `memory`) that also counts heads and answers. When the budget is short, the connection with the most bytes for the longest time without progress gives way: a request that is being read is refused with 503 and has not run, an answer that is being written breaks off. A call whose route or key is unknown is refused before its body is read. A body must grow by 16 kB in 10 s, an answer be read at 8 kB a second on average. Connections beyond the limit get a refusal instead of a close where their request has arrived. While there are too many, those that send a head for 5 s are ended.

A connection whose request has arrived, but was not read for want of processor time, no longer counts as idle or silent: a stopping or crowded daemon closed such connections without an answer.

Package crowd sends such crowds to a daemon with 128 MB and 1,024 descriptors.

--- a/backend/relay.go
+++ b/backend/relay.go
@@ -66,6 +66,10 @@
 	// OnHead is called with every head that the server sends, also that of an
 	// answer to another call; nil for none.
 	OnHead func(AnswerHead)
+	// ReserveAnswer is called before n more bytes of a whole answer are read into
+	// memory, and with a negative n when they are given up; nil for no bound. An error
+	// ends the answer.
+	ReserveAnswer func(n int) error
 }
 
 // AnswerHead is the information in the status line and headers of an answer.
@@ -154,6 +158,7 @@
 	// another call. More such answers may follow on the connection.
 	unmatched    bool
 	maxIdleConns int
+	reserve      func(n int) error
 }
 
 // Send sends a call and reads the head of its answer. The code of the error
@@ -169,7 +174,7 @@
 		return nil, err
 	}
 	firstOnConn := !c.used
-	p := &Response{relay: r, exchange: newExchange(ctx, c), ctx: ctx, place: serverID, maxIdleConns: relayMaxIdleConns}
+	p := &Response{relay: r, exchange: newExchange(ctx, c), ctx: ctx, place: serverID, maxIdleConns: relayMaxIdleConns, reserve: a.ReserveAnswer}
 	if a.MaxIdleConns > 0 {
 		p.maxIdleConns = min(a.MaxIdleConns, relayMaxIdleConns)
 	}
@@ -323,13 +328,7 @@
 // ReadBody reads the whole body. A body that ends too early or exceeds the size
 // limit is an error.
 func (p *Response) ReadBody() ([]byte, *wigeonladder.Error) {
-	var b []byte
-	var err error
-	if p.isUnframed() {
-		b, err = p.exchange.readToEnd(maxRelayAnswerBytes)
-	} else {
-		b, err = p.exchange.readBody(maxRelayAnswerBytes)
-	}
+	b, err := p.exchange.readReserved(maxRelayAnswerBytes, p.isUnframed(), p.reserve)
 	if err != nil {
 		return nil, asError(mayHaveRunError(p.ctx, p.place, err))
 	}
--- a/call.go
+++ b/call.go
@@ -126,3 +126,11 @@
 	// a backend server.
 	Refuse(e *Error)
 }
+
+// AnswerReserver is implemented by a Reply that bounds the memory of answers.
+type AnswerReserver interface {
+	// ReserveAnswer is called before n more bytes of a whole answer are read into
+	// memory, and with a negative n when bytes are given up. An error means that there
+	// is no room. What is reserved is released when the answer was sent.
+	ReserveAnswer(n int) error
+}
--- a/conn/conn.go
+++ b/conn/conn.go
@@ -19,6 +19,10 @@
 // sends.
 const lingerTimeout = time.Second
 
+// maxLingerBytes bounds what a lingering Close reads. It exceeds the largest body that
+// a request may have.
+const maxLingerBytes = 8 << 20
+
 // Conn is an accepted connection. While a request is handled it can detect that
 // the peer disconnects, and it lets a handler write the response itself.
 type Conn struct {
@@ -43,6 +47,16 @@
 	// request is read or handled.
 	idleSince  time.Time
 	closedIdle bool
+	// headSince is when the first byte of a request was read whose head has not been
+	// read yet; zero otherwise.
+	headSince time.Time
+	// interrupted is true once Interrupt was called, until Resume.
+	interrupted atomic.Bool
+	// sentBytes and sendTime are the bytes of the current answer and the time that
+	// their writes took. onProgress is called after each part of a long write.
+	sentBytes  int
+	sendTime   time.Duration
+	onProgress func()
 }
 
 // watch is one background read of a connection.
@@ -89,21 +103,34 @@
 // PeerGone reports whether the peer has closed or reset the connection and has
 // sent nothing before that which is still unread. It does not wait.
 func (c *Conn) PeerGone() bool {
+	n, err := c.peek()
+	return n == 0 && err == nil || err != nil && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, errNoSocket)
+}
+
+// errNoSocket is the error of peek if the connection is not a socket.
+var errNoSocket = errors.New("not a socket")
+
+// peek returns the number of bytes, at most one, that can be read without waiting. The
+// error is EAGAIN if none can; 0 without an error means that the peer has closed the
+// connection.
+func (c *Conn) peek() (n int, err error) {
 	s, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, errNoSocket
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return true
+		return 0, err
 	}
-	gone := false
+	var peekErr error
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		n, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT) // #nosec G115
-		gone = n == 0 && e == nil || errors.Is(e, syscall.ECONNRESET)
+		n, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT) // #nosec G115
 	})
-	return gone || err != nil
+	if err != nil {
+		return 0, err
+	}
+	return max(n, 0), peekErr
 }
 
 // stopRequested reports whether stopWatch was called for this watch.
@@ -143,11 +170,27 @@
 		return 0, io.EOF
 	}
 	if n > 0 {
-		c.idleSince = time.Time{}
+		c.endIdle()
 	}
 	return n, err
 }
 
+// endIdle records that a request has begun.
+func (c *Conn) endIdle() {
+	if !c.idleSince.IsZero() {
+		c.idleSince, c.headSince = time.Time{}, time.Now()
+	}
+}
+
+// EndHead records that the head of the request has been read. It reports false if the
+// connection was interrupted before.
+func (c *Conn) EndHead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headSince = time.Time{}
+	return !c.interrupted.Load()
+}
+
 // markRead records that the connection no longer counts as unread.
 func (c *Conn) markRead() {
 	if c.unread.CompareAndSwap(true, false) {
@@ -165,7 +208,7 @@
 	if c.hasReadAhead && len(b) > 0 {
 		b[0] = c.readAhead[0]
 		c.hasReadAhead = false
-		c.idleSince = time.Time{}
+		c.endIdle()
 		return 1, nil
 	}
 	return 0, c.watchErr
@@ -178,6 +221,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idleSince = time.Time{}
+	c.sentBytes, c.sendTime = 0, 0
 	return !c.closedIdle
 }
 
@@ -200,6 +244,10 @@
 	if c.closedIdle || c.idleSince.IsZero() || c.hasReadAhead || time.Since(c.idleSince) < minIdle {
 		return
 	}
+	// A process that is short of processor time may not have read yet what arrived.
+	if n, err := c.peek(); n > 0 && err == nil {
+		return
+	}
 	c.closedIdle, c.linger = true, true
 	_, _ = c.write(finalResponse)
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -209,46 +257,25 @@
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
-// SkipResponse lets the handler write the response itself, through the returned
-// writer. What the server writes to the connection is dropped until
-// KeepResponse is called at the start of the next request. The server must
-// therefore send each response before it handles the next request.
-func (c *Conn) SkipResponse() io.Writer {
-	c.skipResponse.Store(true)
-	return responseWriter{c}
+// Interrupt makes the reads and writes of the connection fail with
+// os.ErrDeadlineExceeded until Resume is called. It does not block.
+func (c *Conn) Interrupt() {
+	c.interrupted.Store(true)
+	_ = c.Conn.SetDeadline(time.Unix(1, 0))
 }
 
-// ResponseSkipped reports whether the handler writes the response itself.
-func (c *Conn) ResponseSkipped() bool { return c.skipResponse.Load() }
-
-// KeepResponse ends the effect of SkipResponse: what the server writes reaches
-// the connection again.
-func (c *Conn) KeepResponse() { c.skipResponse.Store(false) }
+// Resume ends the effect of Interrupt on writes, so that the request can be refused.
+func (c *Conn) Resume() { c.interrupted.Store(false) }
 
-// responseWriter writes to a connection while the server's own writes are
-// dropped.
-type responseWriter struct{ c *Conn }
-
-// Write implements io.Writer.
-func (w responseWriter) Write(b []byte) (int, error) { return w.c.write(b) }
-
-// Write writes within the listener's write timeout, or drops the bytes after
-// SkipResponse.
-func (c *Conn) Write(b []byte) (int, error) {
-	if c.skipResponse.Load() {
-		return len(b), nil
+// SetReadDeadline sets the deadline of reads, unless the connection is interrupted.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	if err := c.Conn.SetReadDeadline(t); err != nil {
+		return err
 	}
-	return c.write(b)
-}
-
-// write writes within the listener's write timeout, also after SkipResponse.
-func (c *Conn) write(b []byte) (int, error) {
-	if limit := c.listener.limits.WriteTimeout; limit > 0 {
-		if err := c.Conn.SetWriteDeadline(time.Now().Add(limit)); err != nil {
-			return 0, err
-		}
+	if c.interrupted.Load() {
+		return c.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
-	return c.Conn.Write(b)
+	return nil
 }
 
 // Linger makes Close shut down the sending side and read on until lingerTimeout
@@ -286,11 +313,11 @@
 	return c.close()
 }
 
-// drain reads and discards what the peer still sends, for at most
+// drain reads and discards what the peer still sends, at most maxLingerBytes within
 // lingerTimeout, and closes the connection.
 func (c *Conn) drain() {
 	if c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
-		_, _ = io.Copy(io.Discard, c.Conn)
+		_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)
 	}
 	_ = c.close()
 }
--- a/conn/listener.go
+++ b/conn/listener.go
@@ -22,7 +22,8 @@
 	// WriteTimeout bounds a single write to a connection.
 	WriteTimeout time.Duration
 	// MaxOpen is the number of open connections up to which further connections
-	// are accepted. Others are closed at once.
+	// are accepted. Others are refused if there is a RefusalResponse, else closed at
+	// once.
 	MaxOpen int
 	// MaxUnread is the number of new connections from which nothing has been
 	// read yet up to which further connections are accepted. On others the first
@@ -30,12 +31,12 @@
 	// parsed.
 	MaxUnread       int
 	RefusalResponse func() []byte
+	// MaxRefusing is the number of connections that may wait at the same time for
+	// the end of a request that is refused. Beyond it a connection is closed after
+	// what has arrived was answered.
+	MaxRefusing int
 }
 
-// maxShedding is the number of connections that may be refused at the same
-// time; further ones are closed at once.
-const maxShedding = 1024
-
 // Listener accepts connections as *Conn and keeps track of those that are open.
 type Listener struct {
 	net.Listener
@@ -50,6 +51,9 @@
 	// newest contains the connections of the last unreadTime in the order in
 	// which they were accepted.
 	newest []*Conn
+	// refusalBuffer receives what refused peers have sent. Only Accept uses it.
+	refusalBuffer [refusalBufferBytes]byte
+	refusal       []byte
 }
 
 // NewListener returns a Listener that accepts from l.
@@ -78,45 +82,11 @@
 			return c, nil
 		}
 		l.shed.Add(1)
-		if !refuse || l.shedding.Load() >= maxShedding {
+		if !refuse {
 			_ = n.Close()
 			continue
 		}
-		l.shedding.Add(1)
-		go func() {
-			defer l.shedding.Add(-1)
-			refuseRequest(n, l.limits.RefusalResponse())
-		}()
-	}
-}
-
-// refusalBuffers pools the buffers into which refused requests are read.
-var refusalBuffers = sync.Pool{New: func() any { return new([32 << 10]byte) }}
-
-// refuseRequest answers the request on a connection without parsing it, and
-// closes the connection. It reads what the peer still sends, as Close does after
-// Linger.
-func refuseRequest(n net.Conn, response []byte) {
-	defer func() { _ = n.Close() }()
-	b, _ := refusalBuffers.Get().(*[32 << 10]byte)
-	defer refusalBuffers.Put(b)
-	if n.SetDeadline(time.Now().Add(lingerTimeout)) != nil {
-		return
-	}
-	if _, err := n.Read(b[:]); err != nil {
-		return
-	}
-	if _, err := n.Write(response); err != nil {
-		return
-	}
-	w, ok := n.(interface{ CloseWrite() error })
-	if !ok || w.CloseWrite() != nil {
-		return
-	}
-	for {
-		if _, err := n.Read(b[:]); err != nil {
-			return
-		}
+		l.refuse(n)
 	}
 }
 
@@ -126,13 +96,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	for len(l.newest) > 0 && (!l.newest[0].unread.Load() || now.Sub(l.newest[0].acceptedAt) > unreadTime) {
+	for len(l.newest) > 0 && l.newest[0].isReadOrSilent(now) {
 		l.newest[0].markRead()
 		l.newest[0] = nil
 		l.newest = l.newest[1:]
 	}
 	if m := l.limits.MaxOpen; m > 0 && len(l.open) >= m {
-		return nil, false
+		return nil, l.limits.RefusalResponse != nil
 	}
 	if m := l.limits.MaxUnread; m > 0 && l.unread.Load() >= int64(m) {
 		return nil, true
@@ -145,6 +115,20 @@
 	return c, false
 }
 
+// isReadOrSilent reports whether a new connection does not count as unread: it was
+// read, or its peer has sent nothing within unreadTime. What a peer has sent may be
+// unread for longer in a process that is short of processor time.
+func (c *Conn) isReadOrSilent(now time.Time) bool {
+	if !c.unread.Load() {
+		return true
+	}
+	if now.Sub(c.acceptedAt) <= unreadTime {
+		return false
+	}
+	n, err := c.peek()
+	return n == 0 || err != nil
+}
+
 // ShedConns returns the number of connections that were not accepted because a
 // limit was reached.
 func (l *Listener) ShedConns() int { return int(l.shed.Load()) }
@@ -176,6 +160,23 @@
 	}
 }
 
+// InterruptSlowHeads interrupts the connections on which the head of a request has
+// been on its way for at least minTime.
+func (l *Listener) InterruptSlowHeads(minTime time.Duration) {
+	for _, c := range l.openConns() {
+		c.interruptSlowHead(minTime)
+	}
+}
+
+// interruptSlowHead implements Listener.InterruptSlowHeads for one connection.
+func (c *Conn) interruptSlowHead(minTime time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.headSince.IsZero() && time.Since(c.headSince) >= minTime {
+		c.Interrupt()
+	}
+}
+
 // CloseConns closes every open connection.
 func (l *Listener) CloseConns() {
 	for _, c := range l.openConns() {
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -46,12 +46,13 @@
 	// maxHeaderBytes and maxBodyBytes bound the header and the body of a call.
 	maxHeaderBytes = 20 << 10
 	maxBodyBytes   = 5 << 20
-	// callerReadTimeout bounds the reading of a call, callerIdleTimeout the time
-	// between two calls on a connection, callerWriteTimeout one write to a
-	// caller.
-	callerReadTimeout  = 20 * time.Second
-	callerIdleTimeout  = 60 * time.Second
-	callerWriteTimeout = 10 * time.Second
+	// callerHeaderTimeout bounds the reading of a call's header, callerReadTimeout that
+	// of the whole call, callerIdleTimeout the time between two calls on a connection,
+	// callerWriteTimeout one write to a caller.
+	callerHeaderTimeout = 20 * time.Second
+	callerReadTimeout   = 60 * time.Second
+	callerIdleTimeout   = 60 * time.Second
+	callerWriteTimeout  = 10 * time.Second
 	// callerConnsDivisor divides the number of file descriptors; the result is
 	// the number of caller connections above which idle ones are closed. Each
 	// running call takes a further descriptor for its backend server.
@@ -66,6 +67,15 @@
 	// between two collections, in percent.
 	memoryLimitFraction = 0.5
 	gcPercent           = 300
+	// callMemoryFraction is the part of the process's memory for heads, bodies and
+	// answers, connMemoryFraction that for the connections themselves, each of which
+	// takes connBytes: its goroutines' stacks and its state. The rest is for the
+	// daemon's own state and for garbage.
+	callMemoryFraction = 0.2
+	connMemoryFraction = 0.125
+	connBytes          = 12 << 10
+	// minCallMemory is room for the largest call, whose body is copied as it grows.
+	minCallMemory = 2*maxBodyBytes + maxHeaderBytes
 )
 
 const (
@@ -290,8 +300,8 @@
 		return errors.Wrap(err, "front")
 	}
 	d.front = front.NewServer(ctx, front.Options{
-		Listener: callers, Codec: d.platform.CallerCodec, Handler: forwarder.Serve, Journal: d.journal,
-		Limits: front.Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, ReadTimeout: callerReadTimeout, IdleTimeout: callerIdleTimeout, WriteTimeout: callerWriteTimeout, MaxConns: int(s.MaxOpenFiles) / callerConnsDivisor, MaxUnreadConns: maxUnreadConns},
+		Listener: callers, Codec: d.platform.CallerCodec, Handler: forwarder.Serve, Judge: d.judgeHead, Journal: d.journal,
+		Limits: callerLimits(s),
 	})
 	ready, err := conn.Listen(ctx, s.ReadinessAddress)
 	if err != nil {
--- a/edge/operator.go
+++ b/edge/operator.go
@@ -21,8 +21,13 @@
 	explainPath = "/debug/explain"
 )
 
-// operatorReadTimeout bounds the reading of one request of an operator.
-const operatorReadTimeout = 5 * time.Second
+const (
+	// operatorReadTimeout bounds the reading of one request of an operator.
+	operatorReadTimeout = 5 * time.Second
+	// maxOperatorConns bounds the open connections of operators, so that they leave
+	// descriptors for callers and backend servers.
+	maxOperatorConns = 32
+)
 
 // Dump is the state of a daemon, as operators can request it.
 type Dump struct {
@@ -69,6 +74,7 @@
 	vars.Set("services", d.meter)
 	vars.Set("events", d.journal.EventCounts())
 	vars.Set("open", expvar.Func(func() any { return d.front.OpenCalls() }))
+	vars.Set("memory", expvar.Func(func() any { return d.front.Memory() }))
 	vars.Set("daemons", expvar.Func(func() any { return d.liveDaemons() }))
 	vars.Set("reportsSent", expvar.Func(func() any { n, _ := d.mesh.Load().SentTotals(); return n }))
 	vars.Set("reportBytesSent", expvar.Func(func() any { _, n := d.mesh.Load().SentTotals(); return n }))
@@ -91,7 +97,7 @@
 		},
 	}
 	go func() {
-		if err := s.Serve(l); err != nil && ctx.Err() == nil {
+		if err := s.Serve(conn.NewListener(l, conn.Limits{MaxOpen: maxOperatorConns})); err != nil && ctx.Err() == nil {
 			d.journal.Note("", "operator_server_ended", "error", err)
 		}
 	}()
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -231,9 +231,10 @@
 	resp, err := r.forwarder.options.Sender.Send(ctx, backend.CallAttempt{
 		Call: r.call, Instance: lease.Instance, Workspace: r.match.Workspace,
 		TimeLeft: time.Until(r.deadline), LastEventID: r.lastEventID, AtMostOnce: !r.match.Route.Repeatable(),
-		MaxIdleConns: r.maxIdleConns(),
-		BeforeSend:   func() error { return r.checkBeforeSend(ctx, lease.Instance) },
-		OnHead:       func(h backend.AnswerHead) { r.recordNotice(lease.Instance, h) },
+		MaxIdleConns:  r.maxIdleConns(),
+		BeforeSend:    func() error { return r.checkBeforeSend(ctx, lease.Instance) },
+		OnHead:        func(h backend.AnswerHead) { r.recordNotice(lease.Instance, h) },
+		ReserveAnswer: r.reserveAnswer,
 	})
 	if err != nil {
 		result = resultOf(ctx, err)
@@ -249,6 +250,14 @@
 	return nil
 }
 
+// reserveAnswer reserves memory for an answer, if the reply bounds it.
+func (r *callRun) reserveAnswer(n int) error {
+	if a, ok := r.reply.(wigeonladder.AnswerReserver); ok {
+		return a.ReserveAnswer(n)
+	}
+	return nil
+}
+
 // recordNotice records the limit, the departure and the pause that the head of an
 // answer states. A pause counts only in a refusal.
 func (r *callRun) recordNotice(i wigeonladder.Instance, h backend.AnswerHead) {
--- a/front/reply.go
+++ b/front/reply.go
@@ -8,21 +8,25 @@
 
 	"github.com/wigeonladder/wigeonladder"
 	"github.com/wigeonladder/wigeonladder/conn"
+	"github.com/wigeonladder/wigeonladder/memory"
 )
 
 // reply writes the answer to one call. It writes streams directly to the
 // connection, so that a caller that reads slowly slows down only the reading of
 // its own answer from the backend server.
 type reply struct {
-	server *Server
-	ctx    *fasthttp.RequestCtx
-	conn   *conn.Conn
-	call   *wigeonladder.Call
-	out    io.Writer
-	buf    []byte
+	server   *Server
+	exchange *exchange
+	conn     *conn.Conn
+	call     *wigeonladder.Call
+	out      io.Writer
+	buf      []byte
 }
 
-var _ wigeonladder.Reply = (*reply)(nil)
+var (
+	_ wigeonladder.Reply          = (*reply)(nil)
+	_ wigeonladder.AnswerReserver = (*reply)(nil)
+)
 
 // CallerGone implements wigeonladder.Reply.
 func (r *reply) CallerGone() bool { return r.conn.PeerGone() }
@@ -30,7 +34,7 @@
 // SendWhole implements wigeonladder.Reply.
 func (r *reply) SendWhole(a wigeonladder.Answer, body []byte) error {
 	r.setHead(a)
-	r.ctx.Response.SetBodyRaw(body)
+	r.exchange.response.SetBodyRaw(body)
 	return nil
 }
 
@@ -41,15 +45,15 @@
 func (r *reply) Refuse(e *wigeonladder.Error) {
 	switch e.Code.Info().Status {
 	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
-		r.ctx.SetConnectionClose()
+		r.exchange.response.SetConnectionClose()
 	}
-	r.server.o.Codec.WriteRefusal(&r.ctx.Response, r.call, e)
+	r.server.o.Codec.WriteRefusal(r.exchange.response, r.call, e)
 }
 
 // setHead sets the status and the headers of an answer.
 func (r *reply) setHead(a wigeonladder.Answer) {
-	h := &r.ctx.Response.Header
-	r.ctx.SetStatusCode(a.Status)
+	h := &r.exchange.response.Header
+	r.exchange.response.SetStatusCode(a.Status)
 	h.SetNoDefaultContentType(true)
 	r.server.o.Codec.WriteAnswerHeaders(h, a)
 }
@@ -57,33 +61,69 @@
 // BeginStream implements wigeonladder.Reply. The head is sent with the first event.
 func (r *reply) BeginStream(a wigeonladder.Answer) error {
 	r.setHead(a)
-	h := &r.ctx.Response.Header
+	h := &r.exchange.response.Header
 	if r.chunked() {
 		h.SetContentLength(-1)
 	}
-	if !r.chunked() || r.ctx.Request.Header.ConnectionClose() || r.server.drainingConns.Load() {
-		r.ctx.SetConnectionClose()
+	if !r.chunked() || r.exchange.request.Header.ConnectionClose() || r.server.drainingConns.Load() {
+		r.exchange.response.SetConnectionClose()
 	}
 	r.buf = append(r.buf[:0], h.Header()...)
 	r.out = r.conn.SkipResponse()
 	return nil
 }
 
+// ReserveAnswer implements wigeonladder.AnswerReserver.
+func (r *reply) ReserveAnswer(n int) error {
+	if n < 0 {
+		r.exchange.account.Shrink(memory.Answer, -n)
+		return nil
+	}
+	return r.exchange.account.Grow(memory.Answer, n)
+}
+
+// longEventBytes is the length from which an event counts as held while it is
+// written.
+const longEventBytes = 16 << 10
+
 // SendEvent implements wigeonladder.Reply.
 func (r *reply) SendEvent(event []byte) error {
 	if len(event) == 0 {
 		return nil // an empty chunk would end the stream
 	}
+	if len(event) >= longEventBytes {
+		return r.sendLongEvent(event)
+	}
 	r.appendChunk(event)
 	return r.flush()
 }
 
+// sendLongEvent sends an event that counts as held until it is written: in the buffer
+// of its reader and in that of the reply. Meanwhile the caller may give way to others.
+func (r *reply) sendLongEvent(event []byte) error {
+	account := r.exchange.account
+	if err := account.Grow(memory.Answer, 2*len(event)); err != nil {
+		return err
+	}
+	defer account.Shrink(memory.Answer, 2*len(event))
+	account.Unpin()
+	r.appendChunk(event)
+	if err := r.flush(); err != nil {
+		return err
+	}
+	r.buf = nil
+	if !account.Pin() {
+		return memory.ErrEvicted
+	}
+	return nil
+}
+
 // EndStream implements wigeonladder.Reply.
 func (r *reply) EndStream() error {
 	r.appendChunk(nil)
 	err := r.flush()
 	if err != nil {
-		r.ctx.SetConnectionClose()
+		r.exchange.response.SetConnectionClose()
 	}
 	return err
 }
@@ -92,7 +132,7 @@
 // the usual way would end the stream as if it were complete.
 func (r *reply) Abort() {
 	r.conn.SkipResponse()
-	r.ctx.SetConnectionClose()
+	r.exchange.response.SetConnectionClose()
 	if !r.chunked() {
 		r.conn.Reset()
 	}
@@ -100,7 +140,7 @@
 
 // chunked reports whether the caller's version of HTTP has the chunked transfer
 // coding. Without it the end of the connection ends the stream.
-func (r *reply) chunked() bool { return r.ctx.Request.Header.IsHTTP11() }
+func (r *reply) chunked() bool { return r.exchange.request.Header.IsHTTP11() }
 
 // appendChunk appends part to the buffer, as a chunk if the caller can read
 // chunks. An empty part makes the last chunk.
--- a/front/server.go
+++ b/front/server.go
@@ -1,7 +1,10 @@
 package front
 
 import (
+	"bufio"
 	"context"
+	"errors"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -11,6 +14,7 @@
 
 	"github.com/wigeonladder/wigeonladder"
 	"github.com/wigeonladder/wigeonladder/conn"
+	"github.com/wigeonladder/wigeonladder/memory"
 )
 
 // Limits bounds the size of calls, the time that callers may take, and the
@@ -18,12 +22,17 @@
 type Limits struct {
 	// MaxHeaderBytes and MaxBodyBytes bound the header and the body of a call.
 	MaxHeaderBytes, MaxBodyBytes int
-	// ReadTimeout bounds the reading of one call, IdleTimeout the time between
-	// two calls on a connection, WriteTimeout a single write of an answer.
-	ReadTimeout, IdleTimeout, WriteTimeout time.Duration
+	// HeaderTimeout bounds the reading of the header of a call, ReadTimeout that of
+	// the whole call, IdleTimeout the time between two calls on a connection,
+	// WriteTimeout a single write of an answer. A HeaderTimeout of 0 means that
+	// ReadTimeout holds.
+	HeaderTimeout, ReadTimeout, IdleTimeout, WriteTimeout time.Duration
+	// MemoryBytes bounds the heads, bodies and answers that callers make the server
+	// hold; 0 for no bound.
+	MemoryBytes int64
 	// MaxConns is the number of connections above which idle ones are closed,
-	// and half of the number above which new ones are closed at once; 0 for no
-	// bound.
+	// and half of the number above which the requests on new ones are refused; 0
+	// for no bound.
 	MaxConns int
 	// MaxUnreadConns is the number of new connections from which no request has
 	// been read yet above which the requests on further ones are refused without
@@ -33,14 +42,13 @@
 	MaxUnreadConns int
 }
 
-// maxConnsFactor is the ratio of the number of connections above which new ones
+// MaxConnsFactor is the ratio of the number of connections above which new ones
 // are closed to the number above which idle ones are.
-const maxConnsFactor = 2
+const MaxConnsFactor = 2
 
-// maxConcurrency is more than the number of connections that a process can
-// open, so that fasthttp never sends its own refusal, which does not tell the
-// caller that the call did not run.
-const maxConcurrency = 1 << 22
+// refusingDivisor is the ratio of MaxConns to the number of connections on which the
+// end of a refused request is awaited.
+const refusingDivisor = 3
 
 // Codec translates between the HTTP headers that callers use and the types of
 // calls and answers.
@@ -64,7 +72,12 @@
 	Limits   Limits
 	Codec    Codec
 	Handler  Handler
-	Journal  wigeonladder.Journal
+	// Judge decides by its head whether a call with a body that has not arrived yet
+	// is refused without reading the body, and returns the workspace of the call if
+	// it is known. BodyBytes is -1 if the caller states no length. Nil reads every
+	// body.
+	Judge   func(c *wigeonladder.Call, bodyBytes int) (workspace string, err *wigeonladder.Error)
+	Journal wigeonladder.Journal
 }
 
 // Server reads the calls of callers, runs each by a Handler and writes its
@@ -73,8 +86,10 @@
 	o         Options
 	ctx       context.Context
 	cancel    context.CancelFunc
-	http      *fasthttp.Server
 	listener  *conn.Listener
+	budget    *memory.Budget
+	readers   sync.Pool
+	writers   sync.Pool
 	openCalls atomic.Int64
 	// drainingConns is set when a shutdown begins: each connection is closed
 	// after its answer. refusingCalls is set after the lead time of the shutdown:
@@ -84,40 +99,29 @@
 	background    sync.WaitGroup
 }
 
+// writeBufferBytes is the size of the buffer in which the head of an answer is
+// written, together with a short body.
+const writeBufferBytes = 4 << 10
+
 // NewServer starts a server. It serves callers until Shutdown is called; the
 // end of the context cancels its calls but does not close the listener.
 func NewServer(ctx context.Context, o Options) *Server {
 	s := &Server{o: o, listener: conn.NewListener(o.Listener, conn.Limits{
-		WriteTimeout: o.Limits.WriteTimeout, MaxOpen: o.Limits.MaxConns * maxConnsFactor,
-		MaxUnread: o.Limits.MaxUnreadConns, RefusalResponse: func() []byte { return overloadResponse(o.Codec) },
+		WriteTimeout: o.Limits.WriteTimeout, MaxOpen: o.Limits.MaxConns * MaxConnsFactor,
+		MaxUnread: o.Limits.MaxUnreadConns, MaxRefusing: o.Limits.MaxConns / refusingDivisor, RefusalResponse: func() []byte { return overloadResponse(o.Codec) },
 	})}
 	s.ctx, s.cancel = context.WithCancel(ctx)
-	s.http = &fasthttp.Server{
-		Handler:               s.handle,
-		ErrorHandler:          s.handleError,
-		NoDefaultServerHeader: true,
-		ReadTimeout:           o.Limits.ReadTimeout,
-		IdleTimeout:           o.Limits.IdleTimeout,
-		ReadBufferSize:        o.Limits.MaxHeaderBytes,
-		// Releases the read buffer while a handler runs, and sends each response
-		// before the next request is read, which conn.SkipResponse needs.
-		ReduceMemoryUsage:            true,
-		MaxRequestBodySize:           o.Limits.MaxBodyBytes,
-		Concurrency:                  maxConcurrency,
-		CloseOnShutdown:              true,
-		DisablePreParseMultipartForm: true,
-		NoDefaultContentType:         true,
-		Logger:                       serverLog{o.Journal},
-		ConnState:                    markIdle,
+	limit := o.Limits.MemoryBytes
+	if limit <= 0 {
+		limit = math.MaxInt64
 	}
+	s.budget = memory.NewBudget(limit)
+	s.readers.New = func() any { return bufio.NewReaderSize(nil, o.Limits.MaxHeaderBytes) }
+	s.writers.New = func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }
 	if o.Limits.MaxConns > 0 {
 		s.background.Go(s.closeExcessConns)
 	}
-	s.background.Go(func() {
-		if err := s.http.Serve(s.listener); err != nil && s.ctx.Err() == nil {
-			o.Journal.Note("", "front_stopped", "error", err)
-		}
-	})
+	s.background.Go(s.acceptConns)
 	return s
 }
 
@@ -134,18 +138,19 @@
 	return []byte(r.String())
 }
 
-// serverLog receives the log lines of fasthttp.
-type serverLog struct{ journal wigeonladder.Journal }
-
-// Printf implements fasthttp.Logger. It records only that an error occurred,
-// because the lines may quote a request. The request itself is answered by
-// handleError.
-func (l serverLog) Printf(string, ...any) { l.journal.Note("", "front_connection_error") }
-
-// markIdle marks a connection as idle once its response was sent.
-func markIdle(n net.Conn, state fasthttp.ConnState) {
-	if w, ok := n.(*conn.Conn); ok && state == fasthttp.StateIdle {
-		w.EndRequest()
+// acceptConns serves connections until the listener is closed.
+func (s *Server) acceptConns() {
+	for {
+		n, err := s.listener.Accept()
+		if err != nil {
+			if s.ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
+				s.o.Journal.Note("", "front_stopped", "error", err)
+			}
+			return
+		}
+		if c, ok := n.(*conn.Conn); ok {
+			go s.serveConn(c)
+		}
 	}
 }
 
@@ -159,81 +164,5 @@
 // a limit, since the start.
 func (s *Server) ShedConns() int { return s.listener.ShedConns() }
 
-// handle answers one request. Once a shutdown has begun, every answer whose
-// header is not yet sent closes its connection, so that no caller keeps it.
-func (s *Server) handle(c *fasthttp.RequestCtx) {
-	w, ok := c.Conn().(*conn.Conn)
-	if !ok {
-		c.SetStatusCode(fasthttp.StatusInternalServerError)
-		return
-	}
-	w.KeepResponse()
-	if !w.BeginRequest() {
-		w.SkipResponse()
-		c.SetConnectionClose()
-		return
-	}
-	s.handleCall(c, w)
-	if s.drainingConns.Load() && !w.ResponseSkipped() {
-		c.SetConnectionClose()
-	}
-	if c.Response.ConnectionClose() {
-		w.Linger()
-	}
-}
-
-// handleCall reads a call and runs or refuses it.
-func (s *Server) handleCall(c *fasthttp.RequestCtx, w *conn.Conn) {
-	call := &wigeonladder.Call{
-		Method:   string(c.Method()),
-		Host:     string(c.Request.Header.Host()),
-		Path:     string(c.Request.Header.RequestURI()),
-		Body:     c.Request.SwapBody(nil),
-		Received: time.Now(),
-	}
-	err := checkFraming(c.Request.Header.RawHeaders())
-	if err == nil {
-		err = s.o.Codec.ReadCall(&c.Request.Header, call)
-	} else {
-		c.SetConnectionClose()
-	}
-	if err != nil {
-		s.o.Journal.Note(call.ID, "call_unreadable", "code", err.Code, "detail", err.Detail)
-		s.o.Codec.WriteRefusal(&c.Response, call, err)
-		return
-	}
-	if s.refusingCalls.Load() {
-		s.o.Journal.Note(call.ID, "call_refused", "code", wigeonladder.CodeDraining)
-		s.o.Codec.WriteRefusal(&c.Response, call, wigeonladder.Errorf(wigeonladder.CodeDraining, "", "the daemon is stopping").WithRetryDelay(drainingRetryDelay))
-		return
-	}
-	ctx, cancel := context.WithCancel(s.ctx)
-	stop := w.Watch(cancel)
-	s.openCalls.Add(1)
-	defer func() {
-		stop()
-		cancel()
-		s.openCalls.Add(-1)
-	}()
-	s.o.Handler(ctx, call, &reply{server: s, ctx: c, conn: w, call: call})
-}
-
-// handleError answers a request that fasthttp could not read.
-func (s *Server) handleError(c *fasthttp.RequestCtx, err error) {
-	code := wigeonladder.CodeMalformed
-	var headerTooLarge *fasthttp.ErrSmallBuffer
-	switch {
-	case asHeaderTooLarge(err, &headerTooLarge):
-		code = wigeonladder.CodeHeaderTooLarge
-	case isBodyTooLarge(err):
-		code = wigeonladder.CodeTooLarge
-	case isTimeout(err):
-		code = wigeonladder.CodeSlowCaller
-	}
-	s.o.Journal.Note("", "call_unreadable", "code", code, "detail", err)
-	s.o.Codec.WriteRefusal(&c.Response, nil, wigeonladder.Errorf(code, "", "the request cannot be read"))
-	c.SetConnectionClose()
-	if w, ok := c.Conn().(*conn.Conn); ok {
-		w.Linger()
-	}
-}
+// Memory returns what callers make the server hold.
+func (s *Server) Memory() memory.Stats { return s.budget.Stats() }
--- a/front/shutdown.go
+++ b/front/shutdown.go
@@ -54,10 +54,13 @@
 	// excessMinIdle is how long a connection must have been idle to be closed
 	// while there are more than MaxConns.
 	excessMinIdle = time.Second
+	// excessHeadTime is how long the head of a request may be on its way while there
+	// are more than MaxConns. It exceeds the time that the users allow for a head.
+	excessHeadTime = 5 * time.Second
 )
 
-// closeExcessConns closes idle connections while there are more than MaxConns,
-// until the server ends.
+// closeExcessConns closes idle connections, and those that send a head slowly, while
+// there are more than MaxConns, until the server ends.
 func (s *Server) closeExcessConns() {
 	t := time.NewTicker(connCheckInterval)
 	defer t.Stop()
@@ -70,6 +73,7 @@
 		if n := s.listener.OpenConns(); n > s.o.Limits.MaxConns {
 			s.o.Journal.Note("", "connections_relieved", "open", n, "most", s.o.Limits.MaxConns)
 			s.listener.CloseIdle(excessMinIdle, nil)
+			s.listener.InterruptSlowHeads(excessHeadTime)
 		}
 	}
 }
