--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -53,6 +53,9 @@
 	callerReadTimeout   = 60 * time.Second
 	callerIdleTimeout   = 60 * time.Second
 	callerWriteTimeout  = 10 * time.Second
+	// callerProgressTime is the time within which a body must grow by 16 kB, far less
+	// than comes over the slowest links.
+	callerProgressTime = 10 * time.Second
 	// callerConnsDivisor divides the number of file descriptors; the result is
 	// the number of caller connections above which idle ones are closed. Each
 	// running call takes a further descriptor for its backend server.
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -13,6 +13,7 @@
 	return front.Limits{
 		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes,
 		HeaderTimeout: callerHeaderTimeout, ReadTimeout: callerReadTimeout, IdleTimeout: callerIdleTimeout, WriteTimeout: callerWriteTimeout,
+		ProgressTime:   callerProgressTime,
 		MemoryBytes:    max(int64(callMemoryFraction*memory), minCallMemory),
 		MaxConns:       min(int(s.MaxOpenFiles)/callerConnsDivisor, int(connMemoryFraction*memory/connBytes)/front.MaxConnsFactor),
 		MaxUnreadConns: maxUnreadConns,
--- a/front/body.go
+++ b/front/body.go
@@ -16,10 +16,8 @@
 	// firstBodyBytes is the most that is reserved for a body before any of it has
 	// arrived, so that an announced length costs nothing.
 	firstBodyBytes = 16 << 10
-	// progressBytes have to arrive in each progressTime while a body is read. The rate
-	// is far below that of the slowest links.
+	// progressBytes have to arrive in each Limits.ProgressTime while a body is read.
 	progressBytes = 16 << 10
-	progressTime  = 10 * time.Second
 	// readsPerTurn is the number of reads of a body, of at most one chunk each, after
 	// which other connections get the processor.
 	readsPerTurn = 1024
@@ -166,10 +164,12 @@
 	if !b.windowEnd.IsZero() && arrived-b.windowBytes < progressBytes {
 		return nil
 	}
-	b.windowBytes, b.windowEnd = arrived, time.Now().Add(progressTime)
 	b.connection.account.Progress()
-	if !b.end.IsZero() && b.end.Before(b.windowEnd) {
-		return b.connection.conn.SetReadDeadline(b.end)
+	b.windowBytes, b.windowEnd = arrived, b.end
+	if t := b.connection.server.o.Limits.ProgressTime; t > 0 {
+		if end := time.Now().Add(t); b.end.IsZero() || end.Before(b.end) {
+			b.windowEnd = end
+		}
 	}
 	return b.connection.conn.SetReadDeadline(b.windowEnd)
 }
--- a/front/server.go
+++ b/front/server.go
@@ -27,6 +27,9 @@
 	// WriteTimeout a single write of an answer. A HeaderTimeout of 0 means that
 	// ReadTimeout holds.
 	HeaderTimeout, ReadTimeout, IdleTimeout, WriteTimeout time.Duration
+	// In each ProgressTime at least progressBytes of a body must arrive; 0 for no
+	// bound.
+	ProgressTime time.Duration
 	// MemoryBytes bounds the heads, bodies and answers that callers make the server
 	// hold; 0 for no bound.
 	MemoryBytes int64
