--- a/edge/observe.go
+++ b/edge/observe.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/wigeonladder/wigeonladder/memory"
 )
 
 // observePeriod is the time between two sets of log lines about load and
@@ -14,6 +16,7 @@
 func (d *Daemon) observe(ctx context.Context) {
 	t := time.NewTicker(observePeriod)
 	defer t.Stop()
+	var last memory.Stats
 	for {
 		select {
 		case <-ctx.Done():
@@ -21,10 +24,22 @@
 		case <-t.C:
 			d.logLoad()
 			d.logShares()
+			last = d.logMemory(last)
 		}
 	}
 }
 
+// logMemory logs a line if connections found no room for their requests or answers, or
+// gave way to others, since the last statistics. It returns the current ones.
+func (d *Daemon) logMemory(last memory.Stats) memory.Stats {
+	s := d.front.Memory()
+	if s.Refused != last.Refused || s.Evicted != last.Evicted {
+		d.journal.Note("", "memory_short", "head", s.Held["head"], "body", s.Held["body"], "answer", s.Held["answer"],
+			"limit", s.Limit, "refused", s.Refused, "evicted", s.Evicted)
+	}
+	return s
+}
+
 // logLoad logs one line for each service at which calls wait or run.
 func (d *Daemon) logLoad() {
 	stats := d.pool.Stats()
