--- a/front/body.go
+++ b/front/body.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"runtime"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -13,14 +12,15 @@
 )
 
 const (
-	// firstBodyBytes is the most that is reserved for a body before any of it has
-	// arrived, so that an announced length costs nothing.
-	firstBodyBytes = 16 << 10
 	// progressBytes have to arrive in each Limits.ProgressTime while a body is read.
 	progressBytes = 16 << 10
-	// readsPerTurn is the number of reads of a body, of at most one chunk each, after
-	// which other connections get the processor.
-	readsPerTurn = 1024
+	// prefetchedBodyBytes is the most of a body that is read before its stream.
+	prefetchedBodyBytes = 4 << 10
+	// headCopies is how often the bytes of a head are held while its request runs: in
+	// the request, in the call, and in the request to the backend server.
+	headCopies = 3
+	// callBytes is what a call holds beside its head and body.
+	callBytes = 8 << 10
 )
 
 // continueResponse asks the caller to send the body.
@@ -68,12 +68,16 @@
 	return err
 }
 
-// read reads the whole body.
+// read reads the whole body. What the call will hold while it runs is reserved as well.
 func (b *bodyReader) read() ([]byte, error) {
 	limits := b.connection.server.o.Limits
 	if b.length > limits.MaxBodyBytes {
 		return nil, fasthttp.ErrBodyTooLarge
 	}
+	account := b.connection.account
+	if err := account.Grow(memory.Body, callBytes+headCopies*len(b.request.Header.RawHeaders())); err != nil {
+		return nil, err
+	}
 	if b.length == 0 {
 		return nil, nil
 	}
@@ -83,79 +87,25 @@
 		}
 	}
 	if b.hasArrived() {
-		return b.readArrived()
+		return account.ReadBody(io.LimitReader(b.connection.reader, int64(b.length)), memory.BodyLimits{Length: b.length, MaxBytes: limits.MaxBodyBytes})
 	}
 	if err := b.extendDeadline(0); err != nil {
 		return nil, err
 	}
-	maxBytes := limits.MaxBodyBytes
-	if b.length > 0 {
-		maxBytes = b.length
-	}
-	body, err := b.grow(nil, min(firstBodyBytes, maxBytes))
-	if err != nil {
-		return nil, err
-	}
-	if err := b.request.ContinueReadBodyStream(b.connection.reader, firstBodyBytes, false); err != nil {
-		return nil, err
-	}
-	return b.readStream(b.request.BodyStream(), body, maxBytes)
-}
-
-// readArrived reads a body that is in the buffer.
-func (b *bodyReader) readArrived() ([]byte, error) {
-	if err := b.connection.account.Grow(memory.Body, b.length); err != nil {
+	if err := b.request.ContinueReadBodyStream(b.connection.reader, prefetchedBodyBytes, false); err != nil {
 		return nil, err
 	}
-	body := make([]byte, b.length)
-	_, err := io.ReadFull(b.connection.reader, body)
-	return body, err
+	return account.ReadBody(b.request.BodyStream(), memory.BodyLimits{
+		Length: b.length, MaxBytes: limits.MaxBodyBytes, BeforeRead: b.beforeRead,
+	})
 }
 
-// readStream reads a body of at most maxBytes as it arrives. The memory for it grows
-// with what has arrived.
-func (b *bodyReader) readStream(r io.Reader, body []byte, maxBytes int) ([]byte, error) {
-	var err error
-	for reads := 1; ; reads++ {
-		if len(body) == cap(body) && len(body) < maxBytes {
-			if body, err = b.grow(body, min(2*cap(body), maxBytes)); err != nil {
-				return nil, err
-			}
-		}
-		n, err := b.readSome(r, body, maxBytes)
-		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
-			if len(body) < b.length {
-				return nil, io.ErrUnexpectedEOF
-			}
-			return body, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-		if reads%readsPerTurn == 0 {
-			runtime.Gosched()
-		}
-	}
-}
-
-// readSome reads into the free part of body, within the deadline for progress. One more
-// byte than maxBytes is an error.
-func (b *bodyReader) readSome(r io.Reader, body []byte, maxBytes int) (int, error) {
-	if b.connection.reader.Buffered() == 0 {
-		if err := b.extendDeadline(len(body)); err != nil {
-			return 0, err
-		}
-	}
-	if len(body) < maxBytes {
-		return r.Read(body[len(body):cap(body)])
-	}
-	var beyond [1]byte
-	n, err := r.Read(beyond[:])
-	if n > 0 {
-		return 0, fasthttp.ErrBodyTooLarge
+// beforeRead extends the read deadline if the next read of the body will wait.
+func (b *bodyReader) beforeRead(arrived int) error {
+	if b.connection.reader.Buffered() > 0 {
+		return nil
 	}
-	return 0, err
+	return b.extendDeadline(arrived)
 }
 
 // extendDeadline sets the read deadline anew if progressBytes have arrived since it was
@@ -174,17 +124,6 @@
 	return b.connection.conn.SetReadDeadline(b.windowEnd)
 }
 
-// grow returns body with another capacity.
-func (b *bodyReader) grow(body []byte, capacity int) ([]byte, error) {
-	account := b.connection.account
-	if err := account.Grow(memory.Body, capacity); err != nil {
-		return nil, err
-	}
-	grown := append(make([]byte, 0, capacity), body...)
-	account.Shrink(memory.Body, cap(body))
-	return grown, nil
-}
-
 // errorOf returns the error with which a request that could not be read is refused.
 func errorOf(err error) *wigeonladder.Error {
 	var e *wigeonladder.Error
@@ -196,7 +135,7 @@
 		return wigeonladder.Errorf(wigeonladder.CodeOverload, "", "%v", err).WithRetryDelay(overloadRetryDelay)
 	case asHeaderTooLarge(err, &headerTooLarge):
 		return wigeonladder.Errorf(wigeonladder.CodeHeaderTooLarge, "", "the request cannot be read")
-	case isBodyTooLarge(err):
+	case isBodyTooLarge(err), errors.Is(err, memory.ErrTooLarge):
 		return wigeonladder.Errorf(wigeonladder.CodeTooLarge, "", "the request cannot be read")
 	case isTimeout(err):
 		return wigeonladder.Errorf(wigeonladder.CodeSlowCaller, "", "the request cannot be read")
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -11,9 +11,10 @@
 
 // The kinds of held bytes.
 const (
-	// Head is the buffer from which a request is read, and its head.
+	// Head is the buffer from which a request is read.
 	Head Kind = iota
-	// Body is the body of a request, until its answer has been written.
+	// Body is the body of a request, and what else it holds until its answer has been
+	// written.
 	Body
 	// Answer is an answer, until it has been written.
 	Answer
