admission, place: calls that would wait too long are refused when they arrive

Cause: a call waits if its best server is expected to have room within 1.2 s, counting only the calls of this daemon that wait for that server. Nothing says how fast this daemon places the calls of a workspace. All refused calls got the same retry delay.

Change: package admission keeps, for each workspace and service, the cost that waits and the rate at which this daemon placed its calls in the last second. A call that would wait until it is late is refused at arrival. Refused calls get consecutive return times at that rate, within a third of the time that they have left.

--- a/place/choose.go
+++ b/place/choose.go
@@ -196,6 +196,7 @@
 	s.own = s.own.add(l.load)
 	p.used[s] = struct{}{}
 	p.unread[l] = struct{}{}
+	g.recordPlaced(j, now)
 	if s.cache != nil {
 		s.cache.touchAll(j.chain)
 		p.recordSentParts(s, j)
--- a/place/pool.go
+++ b/place/pool.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/admission"
 	"github.com/wigeonladder/wigeonladder/fair"
 	"github.com/wigeonladder/wigeonladder/route"
 )
@@ -77,6 +78,11 @@
 	order   []*server
 	queues  map[string][]*Job
 	waiting int
+	// backlogs contains what admission knows of each workspace, placed what this
+	// daemon has placed of late.
+	backlogs          map[string]*admission.Backlog
+	backlogsExpiredAt time.Time
+	placed            admission.Rate
 	// lastDrain is the time of the last search for waiting jobs to place.
 	lastDrain time.Time
 	// waitingTokens is the number of prompt tokens of the waiting jobs.
@@ -131,7 +137,7 @@
 func (p *Pool) serviceState(name string) *serviceState {
 	g := p.services[name]
 	if g == nil {
-		g = &serviceState{name: name, runTime: runTime{initialRunTime}, servers: map[string]*server{}, queues: map[string][]*Job{}}
+		g = &serviceState{name: name, runTime: runTime{initialRunTime}, servers: map[string]*server{}, queues: map[string][]*Job{}, backlogs: map[string]*admission.Backlog{}}
 		p.services[name] = g
 	}
 	return g
--- a/place/queue.go
+++ b/place/queue.go
@@ -36,7 +36,7 @@
 	maxWaiting = 2000
 	// retryDelayMin and retryDelayMax bound the retry delay of a refused call.
 	retryDelayMin = 100 * time.Millisecond
-	retryDelayMax = 2 * time.Second
+	retryDelayMax = 4 * time.Second
 )
 
 // enqueue adds a job to the queue of its workspace and assigns it to the server
@@ -46,6 +46,7 @@
 	g.queues[j.Workspace] = append(q, j)
 	g.waiting++
 	g.waitingTokens += j.Prompt.Tokens
+	g.backlog(j.Workspace).Enter(j.Prompt.Cost())
 	j.assign(best)
 	if len(q) == 0 && p.options.Shares != nil {
 		p.options.Shares.SetBacklogged(g.name, j.Workspace, true)
@@ -62,6 +63,7 @@
 	q = slices.Delete(q, i, i+1)
 	g.waiting--
 	g.waitingTokens -= j.Prompt.Tokens
+	g.backlog(j.Workspace).Leave(j.Prompt.Cost())
 	j.unassign()
 	if len(q) > 0 {
 		g.queues[j.Workspace] = q
@@ -246,7 +248,7 @@
 	if g.waiting >= maxWaiting || !now.Add(max(expected, 0)).Before(p.waitUntil(g, j)) {
 		return wigeonladder.Errorf(overloadCode(standing), g.name, "%d calls wait; the workspace is %v its share", g.waiting, standing).WithRetryDelay(p.retryDelay(g, j))
 	}
-	return nil
+	return p.backlogRefusal(g, j, best, standing, now)
 }
 
 // waitUntil returns the time until which a job waits for room. A workspace that
@@ -266,21 +268,6 @@
 	return j.ArrivedAt.Add(maxWait)
 }
 
-// retryDelay returns the time in which the waiting prompts are expected to be
-// read, or until the workspace has room in its share if that is longer.
-func (p *Pool) retryDelay(g *serviceState, j *Job) time.Duration {
-	share := time.Duration(0)
-	if p.countsTowardShare(g, j) {
-		share = p.options.Window.RetryDelay(j.Workspace)
-	}
-	servers := g.recentSummary(time.Now()).unavailable[Available]
-	if servers == 0 {
-		return min(max(g.limitWait(), retryDelayMin), retryDelayMax)
-	}
-	t := time.Duration(readTime(g.waitingTokens*p.options.LiveDaemons()) / float64(servers))
-	return min(max(t, share, retryDelayMin), retryDelayMax)
-}
-
 // sweep records a failure for servers whose first byte is overdue, and places
 // waiting jobs.
 func (p *Pool) sweep() {
@@ -298,6 +285,7 @@
 		if g.waiting > 0 {
 			p.refuseUnplaceable(g, now)
 		}
+		g.expireBacklogs(now)
 	}
 }
 
