backend: take a head as an answer only if all its bytes are its own

Cause: bytes that a faulty server left on a connection became a part of the next answer's head.

Change: the head is checked line by line before it is parsed. Anything else is an answer of unknown origin, CodeCrossed, which means that the call may have run. If the server ends the connection after such bytes, it stays CodeBroken.

--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -94,6 +94,9 @@
 		return r.mayHaveRunError(ctx, err)
 	}
 	if err := x.readHeader(); err != nil {
+		if !r.attempt.Request.AtMostOnce {
+			err = x.settleCrossed(err)
+		}
 		return r.mayHaveRunError(ctx, err)
 	}
 	if err := r.checkHeader(x); err != nil {
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -20,6 +20,11 @@
 // arrived completely. Only the reuse of the connection depends on it.
 const bodyEndTimeout = 20 * time.Millisecond
 
+// runEndTimeout is the time after which a server that drops a call when its
+// connection closes is taken to have done so, and the time for which a server is
+// given to close a connection itself after bytes that are not an answer.
+const runEndTimeout = 400 * time.Millisecond
+
 // maxHeadBytes bounds what is read until the header of a response ends,
 // including informational responses before it.
 const maxHeadBytes = 64 << 10
@@ -100,14 +105,18 @@
 }
 
 // readHeader reads the response header, skips informational responses (1xx),
-// and sets the reader of the body.
+// and sets the reader of the body. The error is CodeCrossed if the bytes are not
+// the head of a single answer.
 func (x *exchange) readHeader() error {
 	x.conn.allowRead(maxHeadBytes)
 	for {
+		if err := awaitHead(x.conn.reader); err != nil {
+			return err
+		}
 		x.header.Reset()
 		x.header.SetNoDefaultContentType(true)
 		if err := x.header.Read(x.conn.reader); err != nil {
-			return err
+			return strayBytesError("%v", err)
 		}
 		if s := x.header.StatusCode(); s >= 200 {
 			break
@@ -130,6 +139,28 @@
 	return nil
 }
 
+// settleCrossed returns the error of a head that is not, or not certainly, that of the
+// answer. The run may go on. If the server ends the connection within runEndTimeout,
+// the run has ended, and the error becomes CodeBroken.
+func (x *exchange) settleCrossed(err error) error {
+	var e *wigeonladder.Error
+	if !errors.As(err, &e) || e.Code != wigeonladder.CodeCrossed || !x.serverCloses() {
+		return err
+	}
+	return wigeonladder.Errorf(wigeonladder.CodeBroken, "", "%s; then the connection ended", e.Detail)
+}
+
+// serverCloses waits until the server ends the connection, at most runEndTimeout, and
+// reports whether it did.
+func (x *exchange) serverCloses() bool {
+	if x.conn.SetReadDeadline(time.Now().Add(runEndTimeout)) != nil {
+		return false
+	}
+	x.conn.allowRead(maxHeadBytes)
+	_, _ = io.Copy(io.Discard, x.conn)
+	return x.conn.endedByServer
+}
+
 // readBody reads the whole body. The body must have a stated length or be
 // chunked.
 func (x *exchange) readBody(maxBytes int) ([]byte, error) {
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -32,6 +34,9 @@
 	readable int64
 	// used is true once a request has been written to the connection.
 	used bool
+	// endedByServer is true once a read has met the end or a failure of the
+	// connection that this daemon did not cause.
+	endedByServer bool
 }
 
 // allowRead sets the number of bytes that may be read from the connection from
@@ -49,6 +54,9 @@
 	}
 	n, err := c.Conn.Read(b)
 	c.readable -= int64(n)
+	if err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.endedByServer = true
+	}
 	return n, err
 }
 
