backend, platform: believe nothing in a head that contradicts itself

Cause: of two equal headers the first or the last counted, and a signed answer, or one with a success, that says "not run" counted as a refusal. Such a head is made of two answers.

Change: a codec reports headers that stand more than once (id, signature, "not run", id of the server); a repeated header, or "not run" beside a signature or a status below 400, makes an answer of unknown origin, in both clients. Notices of such heads (leaving, pause, limit) are not acted on.

--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -178,14 +178,17 @@
 func (r *attemptRun) checkHeader(x *exchange) error {
 	status := x.header.StatusCode()
 	echo := string(x.header.Peek(HeaderAttempt))
+	refused := string(x.header.Peek(HeaderNotRun)) == "true"
 	switch {
+	case Repeated(&x.header, HeaderAttempt, HeaderNotRun, HeaderResume), refused && status < fasthttp.StatusBadRequest:
+		return r.errorf(wigeonladder.CodeCrossed, "status %d with contradictory headers", status)
 	case echo == "" && status >= fasthttp.StatusInternalServerError:
 		return r.errorf(wigeonladder.CodeBackend, "status %d without %s", status, HeaderAttempt)
 	case echo != r.attemptID:
 		// The echo is checked before a refusal, because the refusal of another
 		// attempt does not tell whether this one ran.
 		return r.errorf(wigeonladder.CodeCrossed, "sent %s %q, got %q", HeaderAttempt, r.attemptID, echo)
-	case string(x.header.Peek(HeaderNotRun)) == "true":
+	case refused:
 		r.notRun = true
 		return r.errorf(wigeonladder.CodeRefused, "status %d", status)
 	case status >= fasthttp.StatusInternalServerError:
--- a/backend/endless_test.go
+++ b/backend/endless_test.go
@@ -112,6 +112,9 @@
 	}
 }
 
+// signatureHeader is the header of a server's signature in the tests.
+const signatureHeader = "X-Signature"
+
 // testCodec is a codec for the headers of the tests.
 type testCodec struct{}
 
@@ -126,6 +129,7 @@
 		Answer: wigeonladder.Answer{Status: h.StatusCode(), Stream: string(h.ContentType()) == streamType},
 		ID:     string(h.Peek(HeaderAttempt)),
 		NotRun: len(h.Peek(HeaderNotRun)) > 0,
+		Signed: len(h.Peek(signatureHeader)) > 0, Repeated: Repeated(h, HeaderAttempt, HeaderNotRun, signatureHeader),
 	}
 }
 
--- a/backend/head.go
+++ b/backend/head.go
@@ -156,3 +156,20 @@
 		rest = rest[1:]
 	}
 }
+
+// Repeated reports whether one of the headers stands more than once. If each answer
+// has it once at most, the head is that of two answers.
+func Repeated(h *fasthttp.ResponseHeader, names ...string) bool {
+	for _, n := range names {
+		if len(h.PeekAll(n)) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// isContradictory reports whether a head cannot be that of a single answer: it repeats
+// what stands once, or says "not run" in an answer that only a run can have.
+func (h AnswerHead) isContradictory() bool {
+	return h.Repeated || h.NotRun && (h.Signed || h.Status < fasthttp.StatusBadRequest)
+}
--- a/backend/head_test.go
+++ b/backend/head_test.go
@@ -50,6 +50,44 @@
 	}
 }
 
+// contradictoryHeads are heads of the attempt r.1 that no single answer has, for both
+// clients.
+var contradictoryHeads = map[string]string{
+	"two ids":              "HTTP/1.1 500 E\r\nX-Attempt-Id: r.1\r\nx-attempt-id: q\r\nContent-Length: 0\r\n\r\n",
+	"the id twice":         "HTTP/1.1 200 OK\r\nX-Attempt-Id: r.1\r\nX-Attempt-Id: r.1\r\nContent-Length: 0\r\n\r\n",
+	"two marks":            "HTTP/1.1 503 S\r\nX-Attempt-Id: r.1\r\nX-Not-Run: true\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n",
+	"two lengths":          "HTTP/1.1 200 OK\r\nX-Attempt-Id: r.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxy",
+	"length and chunks":    "HTTP/1.1 200 OK\r\nX-Attempt-Id: r.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	"success that refuses": "HTTP/1.1 200 OK\r\nX-Attempt-Id: r.1\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n",
+}
+
+// Guards against a head of two answers that counts as one of them because all its
+// lines are proper.
+func TestContradictoryHeadsAreBelievedInNothing(t *testing.T) {
+	for name, answer := range contradictoryHeads {
+		t.Run(name, func(t *testing.T) { wantUnknownOrigin(t, answer) })
+	}
+}
+
+// Guards against a refusal that carries the signature of a run.
+func TestSignedRefusalsAreNotBelieved(t *testing.T) {
+	for _, first := range []bool{true, false} {
+		t.Run(fmt.Sprintf("first on its connection %v", first), func(t *testing.T) {
+			s := newScript(t, func(n int) (string, bool) {
+				if n == 1 && !first {
+					return wholeAnswer("a", "x"), false
+				}
+				return strings.Replace(refusalAnswer(503, "a"), "\r\n", "\r\n"+signatureHeader+": s\r\n", 1), false
+			})
+			r := newTestRelay(t)
+			if !first {
+				wantCode(t, "relay", relayCall(t.Context(), r, callAt(s.Address(), "a", true)).err, wigeonladder.CodeOK)
+			}
+			wantCode(t, "relay", relayCall(t.Context(), r, callAt(s.Address(), "a", true)).err, wigeonladder.CodeCrossed)
+		})
+	}
+}
+
 // wantUnknownOrigin asserts that an answer to the second call of a connection tells
 // nothing about the call, with both clients.
 func wantUnknownOrigin(t *testing.T, answer string) {
--- a/backend/relay.go
+++ b/backend/relay.go
@@ -63,8 +63,8 @@
 	// BeforeSend is called immediately before the first byte is written; nil for no
 	// check. If it returns an error, nothing is sent.
 	BeforeSend func() error
-	// OnHead is called with every head that the server sends, also that of an
-	// answer to another call; nil for none.
+	// OnHead is called with every head that can be that of a single answer, also of
+	// one to another call; nil for none.
 	OnHead func(AnswerHead)
 }
 
@@ -78,6 +78,9 @@
 	Signed bool
 	// NotRun is true if the server states that the call did not run.
 	NotRun bool
+	// Repeated is true if a header stands more than once that an answer has once at
+	// most, such as the id.
+	Repeated bool
 	// ContentEncoded is true if the body has a content encoding, such as gzip.
 	ContentEncoded bool
 	// Leaving is true if the server states that it leaves.
@@ -293,6 +296,9 @@
 			return err
 		}
 		p.AnswerHead = p.relay.codec.ReadAnswerHead(&p.exchange.header)
+		if p.isContradictory() {
+			return strayBytesError("status %d, id %q, not run %v, signed %v, a header repeated %v", p.Status, p.ID, p.NotRun, p.Signed, p.Repeated)
+		}
 		if a.OnHead != nil {
 			a.OnHead(p.AnswerHead)
 		}
