backend, forward: an answer of unknown origin does not end a run

Change: the call waits on the connection for the answer with its id; one that may run on two servers at once waits 400 ms. What ends without a known end of the run is CodeCrossed: it is sent elsewhere 400 ms after its connection was closed, and a resumable stream not at all, since a server may go on after its connection is closed. If the server ends the connection, the run has ended, and the call is sent elsewhere at once as before. Both clients.

Result: TestRunningCallsAreNotGivenUp (3 cases), TestCrossedCallsWaitForTheirServer and a new case of TestRetryRules fail on the code before and pass. TestRepeatedRefusalsBelongToNoCall now asks for the answer of calls that may be repeated too, where it let them fail.

--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -78,9 +78,19 @@
 	err = r.roundTrip(ctx, x)
 	unused := r.sentAt.IsZero() && x.detachContext()
 	p.put(conn.address, conn, unused || x.finish() && err == nil)
+	if r.mayStillRun(x, err) {
+		AwaitDrop(ctx)
+	}
 	return err
 }
 
+// mayStillRun reports whether an attempt that may be repeated failed while its server
+// may go on with it.
+func (r *attemptRun) mayStillRun(x *exchange, err error) bool {
+	var e *wigeonladder.Error
+	return !r.attempt.Request.AtMostOnce && errors.As(err, &e) && e.Code == wigeonladder.CodeCrossed && !x.conn.endedByServer
+}
+
 // roundTrip writes the request and relays the answer.
 func (r *attemptRun) roundTrip(ctx context.Context, x *exchange) error {
 	if err := r.send(ctx, x); err != nil {
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -20,10 +20,10 @@
 // arrived completely. Only the reuse of the connection depends on it.
 const bodyEndTimeout = 20 * time.Millisecond
 
-// runEndTimeout is the time after which a server that drops a call when its
+// RunEndTimeout is the time after which a server that drops a call when its
 // connection closes is taken to have done so, and the time for which a server is
 // given to close a connection itself after bytes that are not an answer.
-const runEndTimeout = 400 * time.Millisecond
+const RunEndTimeout = 400 * time.Millisecond
 
 // maxHeadBytes bounds what is read until the header of a response ends,
 // including informational responses before it.
@@ -55,6 +55,8 @@
 	// bodyEnded is true once the body has been read to its end, including the
 	// end of the chunked encoding.
 	bodyEnded bool
+	// lastChunkRead is true once the last chunk of a chunked body has been read.
+	lastChunkRead bool
 	// noBody is true if the response has no body, such as the one to HEAD.
 	noBody bool
 	// detachContext keeps the context from closing the connection. It returns
@@ -122,6 +124,7 @@
 			break
 		}
 	}
+	x.bodyEnded, x.lastChunkRead = false, false
 	length := x.header.ContentLength()
 	switch s := x.header.StatusCode(); {
 	case x.noBody || s == fasthttp.StatusNoContent || s == fasthttp.StatusNotModified:
@@ -140,7 +143,7 @@
 }
 
 // settleCrossed returns the error of a head that is not, or not certainly, that of the
-// answer. The run may go on. If the server ends the connection within runEndTimeout,
+// answer. The run may go on. If the server ends the connection within RunEndTimeout,
 // the run has ended, and the error becomes CodeBroken.
 func (x *exchange) settleCrossed(err error) error {
 	var e *wigeonladder.Error
@@ -150,10 +153,29 @@
 	return wigeonladder.Errorf(wigeonladder.CodeBroken, "", "%s; then the connection ended", e.Detail)
 }
 
-// serverCloses waits until the server ends the connection, at most runEndTimeout, and
+// AwaitDrop gives a server RunEndTimeout to drop a call whose connection was closed.
+// It returns false if the context ends first.
+func AwaitDrop(ctx context.Context) bool {
+	t := time.NewTimer(RunEndTimeout)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// runEnded reports whether the run of the call is known to have ended: its answer was
+// read to the end, or the server ended the connection.
+func (x *exchange) runEnded() bool {
+	return x.bodyEnded || x.lastChunkRead || x.conn.endedByServer
+}
+
+// serverCloses waits until the server ends the connection, at most RunEndTimeout, and
 // reports whether it did.
 func (x *exchange) serverCloses() bool {
-	if x.conn.SetReadDeadline(time.Now().Add(runEndTimeout)) != nil {
+	if x.conn.SetReadDeadline(time.Now().Add(RunEndTimeout)) != nil {
 		return false
 	}
 	x.conn.allowRead(maxHeadBytes)
@@ -244,6 +266,7 @@
 	if !errors.Is(err, io.EOF) || c.x.bodyEnded {
 		return n, err
 	}
+	c.x.lastChunkRead = true
 	// If trailers follow instead, bodyEnded stays false and the connection is
 	// not reused.
 	var line [2]byte
--- a/backend/head_test.go
+++ b/backend/head_test.go
@@ -167,3 +167,43 @@
 	p.rest = p.rest[n:]
 	return n, err
 }
+
+// Guards against a call that is sent to a second server while the first one may still
+// run it: the first left bytes on the connection that are not the answer. Only the end
+// of the connection shows that the run has ended.
+func TestRunningCallsAreNotGivenUp(t *testing.T) {
+	refusal, answer := refusalAnswer(503, ""), wholeAnswer("a2", "fine")
+	for _, k := range []struct {
+		name, second      string
+		exclusive, closes bool
+		want              wigeonladder.Code
+	}{
+		{"refusal and answer", refusal + answer, true, false, wigeonladder.CodeOK},
+		{"refusal, no answer yet", refusal, true, false, wigeonladder.CodeTimeout},
+		{"refusal, no answer yet, may run twice", refusal, false, false, wigeonladder.CodeCrossed},
+		{"cut refusal and answer", refusal[:20] + answer, true, false, wigeonladder.CodeCrossed},
+		{"cut refusal and answer, may run twice", refusal[:20] + answer, false, false, wigeonladder.CodeCrossed},
+		{"cut refusal and end", refusal[:20], true, true, wigeonladder.CodeBroken},
+		{"cut refusal, answer and end", refusal[:20] + answer, true, true, wigeonladder.CodeBroken},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			s := newScript(t, func(n int) (string, bool) {
+				if n == 1 {
+					return wholeAnswer("a1", "x"), false
+				}
+				return k.second, k.closes
+			})
+			r := newTestRelay(t)
+			timeout := deadline
+			if k.want == wigeonladder.CodeTimeout {
+				timeout = 2 * RunEndTimeout
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), timeout)
+			defer cancel()
+			wantCode(t, "relay", relayCall(ctx, r, callAt(s.Address(), "a1", true)).err, wigeonladder.CodeOK)
+			a := callAt(s.Address(), "a2", false)
+			a.Exclusive = k.exclusive
+			wantCode(t, "relay", relayCall(ctx, r, a).err, k.want)
+		})
+	}
+}
--- a/backend/relay.go
+++ b/backend/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"os"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -45,67 +46,6 @@
 	maxRelayEventBytes  = 1 << 20
 )
 
-// CallAttempt is one attempt to run a call on one backend server.
-type CallAttempt struct {
-	Call      *wigeonladder.Call
-	Instance  wigeonladder.Instance
-	Workspace string
-	// TimeLeft is the time that remains for the answer.
-	TimeLeft time.Duration
-	// LastEventID is the id of the last event that the caller has if a stream
-	// is resumed; empty otherwise.
-	LastEventID string
-	// AtMostOnce is true if the call may not be repeated.
-	AtMostOnce bool
-	// MaxIdleConns bounds the idle connections to the server; 0 for the
-	// default, which is also the maximum.
-	MaxIdleConns int
-	// BeforeSend is called immediately before the first byte is written; nil for no
-	// check. If it returns an error, nothing is sent.
-	BeforeSend func() error
-	// OnHead is called with every head that can be that of a single answer, also of
-	// one to another call; nil for none.
-	OnHead func(AnswerHead)
-}
-
-// AnswerHead is the information in the status line and headers of an answer.
-type AnswerHead struct {
-	wigeonladder.Answer
-	// ID is the id of the call that the answer belongs to; empty if the answer
-	// states none.
-	ID string
-	// Signed is true if the answer carries the server's signature.
-	Signed bool
-	// NotRun is true if the server states that the call did not run.
-	NotRun bool
-	// Repeated is true if a header stands more than once that an answer has once at
-	// most, such as the id.
-	Repeated bool
-	// ContentEncoded is true if the body has a content encoding, such as gzip.
-	ContentEncoded bool
-	// Leaving is true if the server states that it leaves.
-	Leaving bool
-	// RetryAfter is the time for which the server asks for no calls; 0 for none.
-	RetryAfter time.Duration
-	// Limit is the number of requests a second that the server takes from all daemons
-	// together; HasLimit is false if it states none.
-	Limit    float64
-	HasLimit bool
-	// KeepAliveTimeout is the time for which the server keeps an idle connection, as
-	// it states; 0 if it states none.
-	KeepAliveTimeout time.Duration
-}
-
-// Codec translates between the types of calls and answers and the HTTP headers
-// that backend servers use.
-type Codec interface {
-	// WriteCallHead writes the headers of a call's request. Method, path and
-	// body are already set.
-	WriteCallHead(req *fasthttp.Request, a CallAttempt)
-	// ReadAnswerHead reads the status line and headers of an answer.
-	ReadAnswerHead(h *fasthttp.ResponseHeader) AnswerHead
-}
-
 // Relay sends calls to backend servers and returns their answers unchanged.
 type Relay struct {
 	codec Codec
@@ -184,12 +124,15 @@
 		return nil, asError(mayHaveRunError(ctx, serverID, err))
 	}
 	if err := p.readAnswerHead(a, firstOnConn); err != nil {
+		if a.Exclusive {
+			err = p.exchange.settleCrossed(err)
+		}
 		notRun := p.failedCheck()
 		p.Close()
 		if notRun != nil {
 			return nil, notRun
 		}
-		return nil, asError(mayHaveRunError(ctx, serverID, err))
+		return nil, p.readError(err, p.exchange.conn.endedByServer)
 	}
 	return p, nil
 }
@@ -288,11 +231,13 @@
 //
 // A refusal without an id belongs to the call only if the call is the first on
 // its connection. On a used connection the server may have repeated an earlier
-// refusal while it runs this call: a call that may not be repeated then waits
-// for an answer with its id, any other fails and may be sent to another server.
+// refusal while it runs this call, so the call waits for an answer with its id; one
+// that may run on two servers at once waits RunEndTimeout at most.
 func (p *Response) readAnswerHead(a CallAttempt, firstOnConn bool) error {
 	for range maxSkippedAnswers + 1 {
-		if err := p.exchange.readHeader(); err != nil {
+		if err := p.exchange.readHeader(); errors.Is(err, os.ErrDeadlineExceeded) && p.unmatched {
+			break
+		} else if err != nil {
 			return err
 		}
 		p.AnswerHead = p.relay.codec.ReadAnswerHead(&p.exchange.header)
@@ -308,11 +253,16 @@
 		}
 		if p.ID == a.Call.ID || refusalWithoutID && firstOnConn {
 			p.exchange.conn.keepAliveTimeout = p.KeepAliveTimeout
-			return nil
+			return p.exchange.conn.SetReadDeadline(time.Time{})
 		}
-		if refusalWithoutID && !a.AtMostOnce || p.exchange.header.ContentLength() < -1 {
+		if p.exchange.header.ContentLength() < -1 {
 			break
 		}
+		if refusalWithoutID && !a.AtMostOnce && !a.Exclusive {
+			if err := p.exchange.conn.SetReadDeadline(time.Now().Add(RunEndTimeout)); err != nil {
+				return err
+			}
+		}
 		firstOnConn = false
 		if _, err := p.exchange.readBody(maxRelayAnswerBytes); err != nil {
 			return err
@@ -321,13 +271,23 @@
 	return wigeonladder.Errorf(wigeonladder.CodeCrossed, p.place, "the answer belongs to call %q", p.ID)
 }
 
+// readError returns the error of an answer that could not be read. It is CodeCrossed
+// in place of an error that stands for the end of the run while the server may go on.
+func (p *Response) readError(err error, ended bool) *wigeonladder.Error {
+	e := asError(mayHaveRunError(p.ctx, p.place, err))
+	if !ended && (e.Code == wigeonladder.CodeBroken || e.Code == wigeonladder.CodeBackend) {
+		return wigeonladder.Errorf(wigeonladder.CodeCrossed, p.place, "%s", e.Detail)
+	}
+	return e
+}
+
 // isUnframed reports whether the body ends with the connection.
 func (p *Response) isUnframed() bool {
 	return p.exchange.header.ContentLength() < -1 && !p.exchange.noBody
 }
 
 // ReadBody reads the whole body. A body that ends too early or exceeds the size
-// limit is an error.
+// limit is an error; it is CodeCrossed if the server may still run the call.
 func (p *Response) ReadBody() ([]byte, *wigeonladder.Error) {
 	var b []byte
 	var err error
@@ -337,7 +297,7 @@
 		b, err = p.exchange.readBody(maxRelayAnswerBytes)
 	}
 	if err != nil {
-		return nil, asError(mayHaveRunError(p.ctx, p.place, err))
+		return nil, p.readError(err, p.exchange.runEnded())
 	}
 	p.fullyRead = true
 	return b, nil
@@ -361,7 +321,7 @@
 		return nil, nil
 	}
 	if err != nil {
-		return nil, asError(mayHaveRunError(p.ctx, p.place, err))
+		return nil, p.readError(err, p.exchange.runEnded())
 	}
 	p.hasEvents = true
 	return e, nil
--- a/backend/relay_test.go
+++ b/backend/relay_test.go
@@ -102,12 +102,8 @@
 					is.Equal(conns, 2) // trusted only as the first answer of its connection
 					return
 				}
-				if atMostOnce || second.err == nil {
-					is.Equal(second.err, nil)
-					is.Equal(second.body, "fine")
-					return
-				}
-				is.Equal(second.err.Code, wigeonladder.CodeCrossed)
+				is.Equal(second.err, nil)
+				is.Equal(second.body, "fine")
 			})
 		}
 	}
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/backend"
 	"github.com/wigeonladder/wigeonladder/place"
 )
 
@@ -58,13 +59,27 @@
 		return r.sends < r.match.Route.MaxAttempts+extraSends
 	case wigeonladder.CodeRefused:
 		return r.sends < r.match.Route.MaxAttempts+extraSends && r.forwarder.options.Budget.Spend(r.job.Service)
-	case wigeonladder.CodeBroken, wigeonladder.CodeCrossed, wigeonladder.CodeBackend:
-		return r.match.Route.Repeatable() && r.mayHaveRunCount < r.match.Route.MaxAttempts &&
-			r.forwarder.options.Suspects.CheckCall(r.keys, r.call.ID) == nil && r.forwarder.options.Budget.Spend(r.job.Service)
+	case wigeonladder.CodeBroken, wigeonladder.CodeBackend:
+		return r.mayRepeat()
+	case wigeonladder.CodeCrossed:
+		// The server may go on with the call, also after its connection is closed. A
+		// resumable stream must not run on two servers at once.
+		return !r.match.Route.Resumable && r.attemptsLeft() && backend.AwaitDrop(ctx) && r.mayRepeat()
 	}
 	return false
 }
 
+// mayRepeat reports whether a call that may have run may run once more, and spends
+// the retry budget for it.
+func (r *callRun) mayRepeat() bool {
+	return r.attemptsLeft() && r.forwarder.options.Suspects.CheckCall(r.keys, r.call.ID) == nil && r.forwarder.options.Budget.Spend(r.job.Service)
+}
+
+// attemptsLeft reports whether the route allows the call to run on another server.
+func (r *callRun) attemptsLeft() bool {
+	return r.match.Route.Repeatable() && r.mayHaveRunCount < r.match.Route.MaxAttempts
+}
+
 // resumable reports whether a stream of which the caller has a part can go on at
 // another backend server.
 func (r *callRun) resumable() bool {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -230,7 +230,7 @@
 	r.began = false
 	resp, err := r.forwarder.options.Sender.Send(ctx, backend.CallAttempt{
 		Call: r.call, Instance: lease.Instance, Workspace: r.match.Workspace,
-		TimeLeft: time.Until(r.deadline), LastEventID: r.lastEventID, AtMostOnce: !r.match.Route.Repeatable(),
+		TimeLeft: time.Until(r.deadline), LastEventID: r.lastEventID, AtMostOnce: !r.match.Route.Repeatable(), Exclusive: r.match.Route.Resumable,
 		MaxIdleConns: r.maxIdleConns(),
 		BeforeSend:   func() error { return r.checkBeforeSend(ctx, lease.Instance) },
 		OnHead:       func(h backend.AnswerHead) { r.recordNotice(lease.Instance, h) },
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -146,7 +146,9 @@
 		"safe, not connected":        {"/safe/", []wigeonladder.Code{connect}, 4, 503},
 		"safe, refused":              {"/safe/", []wigeonladder.Code{refused}, 4, 503},
 		"stream, broken":             {"/stream/", []wigeonladder.Code{broken}, 1, 502},
+		"safe, crossed":              {"/safe/", []wigeonladder.Code{crossed}, 2, 502},
 		"resumable, broken":          {"/resume/", []wigeonladder.Code{broken}, 2, 502},
+		"resumable, crossed":         {"/resume/", []wigeonladder.Code{crossed}, 1, 502},
 	} {
 		t.Run(name, func(t *testing.T) {
 			bubble(t, x.errs, func(t *testing.T, r *rig) {
@@ -165,6 +167,26 @@
 	}
 }
 
+// Guards against a call that runs on two servers at once, because it is sent again
+// while the server whose answer was not understood may still run it.
+func TestCrossedCallsWaitForTheirServer(t *testing.T) {
+	for code, wait := range map[wigeonladder.Code]time.Duration{broken: 0, crossed: backend.RunEndTimeout} {
+		bubble(t, []wigeonladder.Code{code}, func(t *testing.T, r *rig) {
+			is := is.New(t)
+			began := time.Now()
+			r.serve(t, "/safe/")
+			is.Equal(len(r.sender.sent), 2)
+			is.Equal(time.Since(began), wait)
+		})
+	}
+	bubble(t, []wigeonladder.Code{crossed}, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		r.sender.delay = 1700 * time.Millisecond // the timeout of the route is 2 s
+		is.Equal(r.serve(t, "/safe/").Code, crossed)
+		is.Equal(len(r.sender.sent), 1)
+	})
+}
+
 // Guards against a call that crashes one server after another, and against
 // harmless calls that are refused because the network lost their answers.
 func TestCrashingCalls(t *testing.T) {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -47,18 +47,22 @@
 	r.began = true
 }
 
-// checkAnswer returns an error if the answer must not reach the caller.
+// checkAnswer returns an error if the answer must not reach the caller. The code of a
+// stream says that the server may go on with it.
 func (r *callRun) checkAnswer(l *place.Lease, p *backend.Response) *wigeonladder.Error {
-	serverID := l.Instance.ID
+	serverID, code := l.Instance.ID, wigeonladder.CodeBackend
+	if p.Stream {
+		code = wigeonladder.CodeCrossed
+	}
 	switch {
 	case p.NotRun:
 		return wigeonladder.Errorf(wigeonladder.CodeRefused, serverID, "status %d", p.Status)
 	case p.ContentEncoded:
-		return wigeonladder.Errorf(wigeonladder.CodeBackend, serverID, "the body is encoded")
+		return wigeonladder.Errorf(code, serverID, "the body is encoded")
 	case p.Status < 300 && !p.Signed:
-		return wigeonladder.Errorf(wigeonladder.CodeBackend, serverID, "status %d without a signature", p.Status)
+		return wigeonladder.Errorf(code, serverID, "status %d without a signature", p.Status)
 	case promisesNotRun(p.Status):
-		return wigeonladder.Errorf(wigeonladder.CodeBackend, serverID, "status %d of a call that may have run", p.Status)
+		return wigeonladder.Errorf(code, serverID, "status %d of a call that may have run", p.Status)
 	}
 	return nil
 }
