--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -78,9 +78,19 @@
 	err = r.roundTrip(ctx, x)
 	unused := r.sentAt.IsZero() && x.detachContext()
 	p.put(conn.address, conn, unused || x.finish() && err == nil)
+	if r.mayStillRun(x, err) {
+		AwaitDrop(ctx)
+	}
 	return err
 }
 
+// mayStillRun reports whether an attempt that may be repeated failed while its server
+// may go on with it.
+func (r *attemptRun) mayStillRun(x *exchange, err error) bool {
+	var e *wigeonladder.Error
+	return !r.attempt.Request.AtMostOnce && errors.As(err, &e) && e.Code == wigeonladder.CodeCrossed && !x.conn.endedByServer
+}
+
 // roundTrip writes the request and relays the answer.
 func (r *attemptRun) roundTrip(ctx context.Context, x *exchange) error {
 	if err := r.send(ctx, x); err != nil {
@@ -94,6 +104,9 @@
 		return r.mayHaveRunError(ctx, err)
 	}
 	if err := x.readHeader(); err != nil {
+		if !r.attempt.Request.AtMostOnce {
+			err = x.settleCrossed(err)
+		}
 		return r.mayHaveRunError(ctx, err)
 	}
 	if err := r.checkHeader(x); err != nil {
@@ -175,14 +188,17 @@
 func (r *attemptRun) checkHeader(x *exchange) error {
 	status := x.header.StatusCode()
 	echo := string(x.header.Peek(HeaderAttempt))
+	refused := string(x.header.Peek(HeaderNotRun)) == "true"
 	switch {
+	case Repeated(&x.header, HeaderAttempt, HeaderNotRun, HeaderResume), refused && status < fasthttp.StatusBadRequest:
+		return r.errorf(wigeonladder.CodeCrossed, "status %d with contradictory headers", status)
 	case echo == "" && status >= fasthttp.StatusInternalServerError:
 		return r.errorf(wigeonladder.CodeBackend, "status %d without %s", status, HeaderAttempt)
 	case echo != r.attemptID:
 		// The echo is checked before a refusal, because the refusal of another
 		// attempt does not tell whether this one ran.
 		return r.errorf(wigeonladder.CodeCrossed, "sent %s %q, got %q", HeaderAttempt, r.attemptID, echo)
-	case string(x.header.Peek(HeaderNotRun)) == "true":
+	case refused:
 		r.notRun = true
 		return r.errorf(wigeonladder.CodeRefused, "status %d", status)
 	case status >= fasthttp.StatusInternalServerError:
