caller: bound the bodies and answers that callers make a daemon hold

The daemons of serve read whole bodies before they looked at the key, without a bound over all connections. They now read a body once its key is accepted, out of the budget of package memory, and count whole answers. Settings limits.callerMemory (256 MB) and limits.maxConnections (20,000) bound both. A body that is announced as too large is refused by its head as before.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -11,6 +11,7 @@
 
 	"github.com/wigeonladder/wigeonladder"
 	"github.com/wigeonladder/wigeonladder/conn"
+	"github.com/wigeonladder/wigeonladder/memory"
 )
 
 // doneEvent is the last event of a complete stream.
@@ -45,7 +46,7 @@
 		s.serveStream(ctx, c, r)
 		return
 	}
-	var w wholeSink
+	w := wholeSink{account: s.account(c)}
 	err := s.runRequest(ctx, r, &w)
 	s.noteEnd(r, r.ID, err)
 	s.writeWhole(c, &w, err)
@@ -83,6 +84,7 @@
 	status      int
 	contentType string
 	body        []byte
+	account     *memory.Account
 }
 
 // Start implements wigeonladder.Sink. It discards an earlier incomplete answer.
@@ -94,6 +96,15 @@
 
 // Write implements wigeonladder.Sink.
 func (w *wholeSink) Write(part []byte, _ int64) error {
+	before := cap(w.body)
+	if before-len(w.body) < len(part) {
+		if err := w.account.Grow(memory.Answer, 2*before+len(part)); err != nil {
+			return err
+		}
+		grown := append(make([]byte, 0, 2*before+len(part)), w.body...)
+		w.account.Shrink(memory.Answer, before)
+		w.body = grown
+	}
 	w.body = append(w.body, part...)
 	return nil
 }
@@ -109,14 +120,14 @@
 	if w.contentType != "" {
 		c.SetContentType(w.contentType)
 	}
-	c.SetBody(w.body)
+	c.Response.SetBodyRaw(w.body)
 }
 
 // serveStream runs a request whose answer is sent event by event. The header is
 // sent with the first event, so an error before the first event is sent as an
 // ordinary error response.
 func (s *Server) serveStream(ctx context.Context, c *fasthttp.RequestCtx, r wigeonladder.Request) {
-	e := &eventSink{requestCtx: c, isDraining: s.isDraining, whole: wholeSink{status: fasthttp.StatusOK, contentType: streamType}}
+	e := &eventSink{requestCtx: c, isDraining: s.isDraining, whole: wholeSink{status: fasthttp.StatusOK, contentType: streamType, account: s.account(c)}}
 	err := s.runRequest(ctx, r, e)
 	s.noteEnd(r, r.ID, err)
 	if !e.started && (err != nil || !e.whole.isStream()) {
--- a/caller/parse.go
+++ b/caller/parse.go
@@ -47,9 +47,8 @@
 )
 
 // parseRequest turns an HTTP request into a request of its workspace. A request
-// for a ticket becomes the call that the ticket is for. The body is taken over
-// from fasthttp, which would otherwise keep a second copy until the answer
-// ends.
+// for a ticket becomes the call that the ticket is for. The body is read once the
+// caller has been admitted.
 func (s *Server) parseRequest(c *fasthttp.RequestCtx, id, path string) (wigeonladder.Request, error) {
 	r := wigeonladder.Request{ID: id, Arrived: time.Now()}
 	x := s.currentIndex()
@@ -60,16 +59,23 @@
 	if r.Workspace, err = x.workspace(key); err != nil {
 		return r, err
 	}
+	isChat, isTicket := path == chatPath && c.IsPost(), path == ticketsPath && c.IsPost()
+	if !isChat && !isTicket && !strings.HasPrefix(path, plainPrefix) {
+		return r, wigeonladder.Errorf(wigeonladder.CodeNoService, "", "no such method and path")
+	}
+	body, err := s.readBody(c)
 	switch {
-	case path == chatPath && c.IsPost():
-		r, err = x.parseChat(r, string(c.Request.Header.Peek(headerService)), c.Request.SwapBody(nil))
+	case err != nil:
+		return r, err
+	case isChat:
+		r, err = x.parseChat(r, string(c.Request.Header.Peek(headerService)), body)
 		return withCostHint(r, c.Request.Header.Peek(headerCostHint), err)
-	case path == ticketsPath && c.IsPost():
-		return x.parseTicket(r, c.PostBody())
-	case strings.HasPrefix(path, plainPrefix):
+	case isTicket:
+		return x.parseTicket(r, body)
+	default:
 		r.Method = string(c.Method())
 		r.ContentType = string(c.Request.Header.ContentType())
-		r.Body = c.Request.SwapBody(nil)
+		r.Body = body
 		r.Ticket = string(c.Request.Header.Peek(headerTicket))
 		r, err := x.parsePlain(r, path, string(c.URI().QueryString()))
 		r, err = withCostHint(r, c.Request.Header.Peek(headerCostHint), err)
@@ -77,8 +83,6 @@
 			err = wigeonladder.Errorf(wigeonladder.CodeNeedTicket, headerTicket, "%s %s needs a ticket", r.Method, r.Path)
 		}
 		return r, err
-	default:
-		return r, wigeonladder.Errorf(wigeonladder.CodeNoService, "", "no such method and path")
 	}
 }
 
--- a/caller/server.go
+++ b/caller/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/wigeonladder/wigeonladder"
 	"github.com/wigeonladder/wigeonladder/conn"
+	"github.com/wigeonladder/wigeonladder/memory"
 )
 
 // Limits of the HTTP server.
@@ -26,7 +27,7 @@
 	// time loses its connection, which frees its slot.
 	writeTimeout = 30 * time.Second
 	// maxHeaderBytes bounds the header of a request. It is the size of the read
-	// buffer, which every open connection holds.
+	// buffer, which every connection that was used holds.
 	maxHeaderBytes = 4 << 10
 	// maxConcurrency is more than the number of connections that a process can
 	// open, so that fasthttp never sends its own refusal, which has no result
@@ -39,6 +40,8 @@
 	cancelPollInterval = 10 * time.Millisecond
 	// defaultMaxBodyBytes is the default of Options.MaxBodyBytes.
 	defaultMaxBodyBytes = 4 << 20
+	// defaultMemoryBytes is the default of Options.MemoryBytes.
+	defaultMemoryBytes = 256 << 20
 )
 
 // Options are the settings and the dependencies of a Server.
@@ -50,6 +53,11 @@
 	Tickets wigeonladder.Tickets
 	// MaxBodyBytes bounds the body of a request; 4 MiB by default.
 	MaxBodyBytes int
+	// MemoryBytes bounds the bodies and answers that callers make the server hold;
+	// 256 MiB by default.
+	MemoryBytes int64
+	// MaxConns bounds the open connections; 0 for no bound.
+	MaxConns int
 	// Draining reports whether load balancers are told to send no more
 	// requests. Requests that arrive are still served.
 	Draining func() bool
@@ -79,6 +87,9 @@
 	if o.MaxBodyBytes == 0 {
 		o.MaxBodyBytes = defaultMaxBodyBytes
 	}
+	if o.MemoryBytes == 0 {
+		o.MemoryBytes = defaultMemoryBytes
+	}
 	if o.Journal == nil {
 		o.Journal = discardJournal{}
 	}
@@ -93,11 +104,17 @@
 
 // Server is the HTTP server for callers.
 type Server struct {
-	options      Options
-	ctx          context.Context
-	cancel       context.CancelCauseFunc
-	http         *fasthttp.Server
-	listener     *conn.Listener
+	options  Options
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	http     *fasthttp.Server
+	listener *conn.Listener
+	budget   *memory.Budget
+	// accounts maps the connections whose request is served to their accounts.
+	accounts sync.Map
+	// oversize is the set of headers of requests that announce a body beyond the
+	// limit.
+	oversize     sync.Map
 	index        atomic.Pointer[index]
 	openRequests atomic.Int64
 	background   sync.WaitGroup
@@ -113,7 +130,10 @@
 // requests and closes the connections.
 func NewServer(ctx context.Context, o Options) *Server {
 	o = o.withDefaults()
-	s := &Server{options: o, listener: conn.NewListener(o.Listener, conn.Limits{WriteTimeout: writeTimeout})}
+	s := &Server{
+		options: o, listener: conn.NewListener(o.Listener, conn.Limits{WriteTimeout: writeTimeout, MaxOpen: o.MaxConns}),
+		budget: memory.NewBudget(o.MemoryBytes),
+	}
 	s.ctx, s.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
@@ -124,17 +144,18 @@
 		IdleTimeout:           idleTimeout,
 		ReadBufferSize:        maxHeaderBytes,
 		WriteBufferSize:       maxHeaderBytes,
-		// Releases the read buffer while a handler runs, and sends each
-		// response before the next request is read, which conn.SkipResponse
-		// needs.
+		// Sends each response before the next request is read, which
+		// conn.SkipResponse needs.
 		ReduceMemoryUsage:            true,
-		MaxRequestBodySize:           o.MaxBodyBytes,
+		StreamRequestBody:            true,
+		HeaderReceived:               s.refuseOversize,
+		MaxRequestBodySize:           prefetchedBodyBytes,
 		Concurrency:                  maxConcurrency,
 		CloseOnShutdown:              true,
 		DisablePreParseMultipartForm: true,
 		NoDefaultContentType:         true,
 		Logger:                       serverLog{o.Journal},
-		ConnState:                    markIdle,
+		ConnState:                    s.trackState,
 	}
 	s.background.Go(func() {
 		if err := s.http.Serve(s.listener); err != nil && s.ctx.Err() == nil {
@@ -167,12 +188,19 @@
 		return
 	}
 	connection.KeepResponse()
+	isOversize := s.isOversize(c)
 	if !connection.BeginRequest() {
 		connection.SkipResponse()
 		c.SetConnectionClose()
 		return
 	}
+	if isOversize {
+		s.handleError(c, fasthttp.ErrBodyTooLarge)
+		return
+	}
+	account := s.openAccount(connection)
 	s.handleRequest(c)
+	account.Unpin()
 	if s.isDraining() && !connection.ResponseSkipped() {
 		c.SetConnectionClose()
 	}
@@ -192,11 +220,16 @@
 	c.Response.Header.Set(headerRequestID, id)
 	if s.isRefusing() {
 		s.lastRefusal.Store(time.Now().UnixNano())
+		closeIfUnread(c)
 		writeError(c, ticketError(c, drainingError().WithRetryAfter(1)))
 		return
 	}
 	r, err := s.parseRequest(c, id, path)
+	if err == nil && !s.account(c).Pin() {
+		err = noMemoryError()
+	}
 	if err != nil {
+		closeIfUnread(c)
 		err = ticketError(c, err)
 		s.noteEnd(r, id, err)
 		writeError(c, err)
@@ -223,6 +256,8 @@
 	switch e.Code {
 	case wigeonladder.CodeDraining:
 		return wigeonladder.Errorf(wigeonladder.CodeTicketAway, headerTicket, "the daemon is stopping").WithRetryAfter(e.RetryAfter)
+	case wigeonladder.CodeOverload:
+		return wigeonladder.Errorf(wigeonladder.CodeTicketAway, headerTicket, "no memory for the request").WithRetryAfter(e.RetryAfter)
 	case wigeonladder.CodeNoWorkspace:
 		return wigeonladder.Errorf(wigeonladder.CodeTicketUnknown, headerTicket, "the workspace was removed; the call may have run before")
 	case wigeonladder.CodeBadCredential:
--- a/caller/shutdown.go
+++ b/caller/shutdown.go
@@ -3,13 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/wigeonladder/wigeonladder"
-	"github.com/wigeonladder/wigeonladder/conn"
 )
 
 // Times of a shutdown.
@@ -40,13 +36,6 @@
 	return wigeonladder.Errorf(wigeonladder.CodeDraining, "", "the daemon is stopping")
 }
 
-// markIdle marks a connection as idle after its response has been sent.
-func markIdle(n net.Conn, state fasthttp.ConnState) {
-	if connection, ok := n.(*conn.Conn); ok && state == fasthttp.StateIdle {
-		connection.EndRequest()
-	}
-}
-
 // finalResponse returns the last response on an idle connection that a shutdown
 // closes. It answers a request that the caller sends at the same moment. HTTP
 // provides status 408 for this case: a client that has sent no request ignores
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -86,6 +86,8 @@
 		Runner:       d.runner,
 		Tickets:      d.issuer,
 		MaxBodyBytes: d.settings.MaxBodyBytes,
+		MemoryBytes:  int64(d.settings.CallerMemoryMB) << 20,
+		MaxConns:     d.settings.MaxConns,
 		Draining:     func() bool { return d.Draining() || d.watcher.Config().Revision == 0 },
 		Refusing:     d.Refusing,
 		Journal:      d.journal,
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -39,6 +39,12 @@
 type Limits struct {
 	// MaxBodyBytes is the largest accepted size of a request body.
 	MaxBodyBytes int `json:"maxBody"`
+	// CallerMemoryMB bounds the bodies of requests and the whole answers that callers
+	// make the daemon hold, in units of 2^20 bytes.
+	CallerMemoryMB int `json:"callerMemory"`
+	// MaxConns is the largest number of open connections of callers; others are
+	// closed.
+	MaxConns int `json:"maxConnections"`
 	// MaxWaiting is the largest number of queued requests per service.
 	MaxWaiting int `json:"maxWaiting"`
 	// MaxWait is the longest time for which a request waits for a slot.
@@ -49,9 +55,11 @@
 func Default() Settings {
 	return Settings{
 		Limits: Limits{
-			MaxBodyBytes: 4 << 20,
-			MaxWaiting:   2000,
-			MaxWait:      Duration(time.Minute),
+			MaxBodyBytes:   4 << 20,
+			CallerMemoryMB: 256,
+			MaxConns:       20_000,
+			MaxWaiting:     2000,
+			MaxWait:        Duration(time.Minute),
 		},
 		LeadTime:     Duration(3 * time.Second),
 		DrainTimeout: Duration(2 * time.Minute),
