--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -22,6 +22,8 @@
 	// exceeds what the buffers of a connection hold.
 	answerBytes = 8 << 20
 	slowReaders = 64
+	// longHeadBytes is the length of a long head, which the users' pages allow.
+	longHeadBytes = 15 << 10
 	// slowReadBuffer is the receive buffer of a caller that reads slowly, in bytes.
 	slowReadBuffer = 4 << 10
 )
@@ -127,6 +129,51 @@
 	}
 }
 
+// Guards against callers who together end a daemon, or shut out others, though each
+// kind of them stays within its bound: unfinished bodies, slow readers, calls with
+// long heads that wait for their server, and connections without a request.
+func TestAllAtOnce(t *testing.T) {
+	r := newRig(t)
+	body := strings.Repeat("x", answerBytes)
+	r.server.SetRawAnswer(func(q *http.Request) (stub.RawAnswer, bool) {
+		switch q.URL.Path {
+		case "/long":
+			return stub.RawAnswer{Text: stub.BodyText(stub.CallID(q), body)}, true
+		case "/wait":
+			<-q.Context().Done()
+			return stub.RawAnswer{Reset: true}, true
+		}
+		return stub.RawAnswer{}, false
+	})
+	text := chunks(16)
+	longLine := "X-Long: " + strings.Repeat("x", longHeadBytes)
+	g := r.newCrowd(r.settings.CallerAddress, 4*crowdSize, func(g *crowd, i int, c net.Conn) {
+		h := ""
+		switch i % 4 {
+		case 0:
+			h = head(i, "/x", "Transfer-Encoding: chunked")
+		case 1:
+			if t, ok := c.(*net.TCPConn); ok {
+				_ = t.SetReadBuffer(slowReadBuffer)
+			}
+			h = head(i, "/long", "Content-Length: 0")
+		case 2:
+			h = head(i, "/wait", longLine, "Content-Length: 0")
+		}
+		g.send(c, []byte(h), len(h))
+		if i%4 == 0 {
+			g.send(c, text, maxBody)
+		}
+		if i%4 != 3 {
+			g.readStatus(c)
+		}
+	})
+	r.settle(g)
+	r.wantWithinLimits()
+	r.wantServed(1000)
+	r.wantWithinLimits()
+}
+
 // Guards against limits that refuse a request inside the users' limits while nothing
 // else goes on.
 func TestLargestBodyIsServed(t *testing.T) {
