exchange: bound the size of incoming messages

A message of another daemon was decoded whatever its size; only what it unpacks to had a bound. TestMessagesAreBounded fails without the bound: the whole message is read.

--- a/exchange/peer.go
+++ b/exchange/peer.go
@@ -109,7 +109,7 @@
 // newConn starts a jsonrpc2 connection. It discards the log of jsonrpc2,
 // because calls and notifications return the errors.
 func newConn(ctx context.Context, c net.Conn, h jsonrpc2.Handler) *jsonrpc2.Conn {
-	s := jsonrpc2.NewPlainObjectStream(limitedConn{c})
+	s := newBoundedStream(limitedConn{c})
 	return jsonrpc2.NewConn(ctx, s, h, jsonrpc2.SetLogger(log.New(io.Discard, "", 0)))
 }
 
