inventory: notice a lost call sooner after a failed one

When the daemon that reads the store for its zone stopped answering, the others waited 1.6 s for it and 1.6 s more for their own first call if that was lost too: changes came 3.35 s late where 3 s are allowed. A watch after a failed call now waits for a change for 100 ms and not 700.

TestChangeArrivesAfterTwoLostCalls failed before ("1 != 2" after 3 s).

--- a/inventory/feed.go
+++ b/inventory/feed.go
@@ -12,9 +12,10 @@
 const (
 	// maxFeedItems bounds the changes that a Feed keeps.
 	maxFeedItems = 4096
-	// feedWatchTimeout is how long a watch of the store by a daemon that others follow
-	// waits for a change: they wait for its answer, also if there is none.
-	feedWatchTimeout = 100 * time.Millisecond
+	// shortWatchTimeout is how long a watch of the store waits for a change if an answer
+	// is needed also if there is none: other daemons wait for it, or the call before
+	// failed, so that another lost one must be noticed soon.
+	shortWatchTimeout = 100 * time.Millisecond
 	// feedUsedTime is the time since the last call of Watch for which a feed counts as
 	// used. It is longer than the time between two attempts of a daemon that got no
 	// answer.
--- a/inventory/follower.go
+++ b/inventory/follower.go
@@ -70,9 +70,11 @@
 
 // Follower follows the items below one key prefix.
 type Follower struct {
-	options      Options
-	lastAnswer   time.Time
-	lost         bool
+	options    Options
+	lastAnswer time.Time
+	lost       bool
+	// failed is true after a call that failed, until one succeeds.
+	failed       bool
 	progress     progress
 	retryBackoff *backoff.ExponentialBackOff
 	// relayed is true if another daemon answered the last watch, relayFailedAt when
@@ -169,13 +171,13 @@
 			return p, began, nil
 		}
 		if !errors.Is(err, ErrNoReader) {
-			f.relayFailedAt = time.Now()
+			f.relayFailedAt, f.failed = time.Now(), true
 		}
 	}
 	sleep(ctx, time.Until(f.nextReadAt))
 	timeout := f.options.WatchTimeout
-	if f.options.Feed != nil && f.options.Feed.isUsed() {
-		timeout = min(timeout, feedWatchTimeout)
+	if f.failed || f.options.Feed != nil && f.options.Feed.isUsed() {
+		timeout = min(timeout, shortWatchTimeout)
 	}
 	began := f.options.Now()
 	callCtx, cancel := context.WithTimeout(ctx, timeout+callTimeout)
@@ -229,7 +231,7 @@
 		}
 	}
 	f.progress.record(p.Revision, now)
-	f.lastAnswer = now
+	f.lastAnswer, f.failed = now, false
 	f.retryBackoff.Reset()
 }
 
@@ -238,6 +240,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	f.failed = true
 	if !f.lost && time.Since(f.lastAnswer) > storeLostAfter {
 		f.lost = true
 		f.options.Journal.Note("", "store_lost", "age", time.Since(f.lastAnswer), "error", err)
--- a/inventory/follower_test.go
+++ b/inventory/follower_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -347,3 +348,44 @@
 		is.True(!x.has("a"))
 	})
 }
+
+// lossyStore loses one watch: it gets no answer.
+type lossyStore struct {
+	*fakeStore
+	lose atomic.Bool
+}
+
+// Watch implements Store.
+func (s *lossyStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Page, error) {
+	if s.lose.CompareAndSwap(true, false) {
+		<-ctx.Done()
+		return Page{}, ctx.Err()
+	}
+	return s.fakeStore.Watch(ctx, prefix, after, wait)
+}
+
+// Guards against a change that comes too late because the daemon that reads the store
+// for this one stops answering and the first call of the store itself is lost too.
+func TestChangeArrivesAfterTwoLostCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			maxApply = 3 * time.Second
+			pause    = maxApply * 4 / 10
+		)
+		s := &lossyStore{fakeStore: newFakeStore()}
+		s.put("config", "1")
+		relayed := 0
+		seen := follow(t.Context(), s, Options{WatchTimeout: 700 * time.Millisecond, WatchPause: pause, Relay: func(ctx context.Context, after int64) (Page, error) {
+			if relayed++; relayed == 1 {
+				s.lose.Store(true)
+				return Page{Revision: after, Relayed: true}, nil
+			}
+			sleep(ctx, pause+250*time.Millisecond+testRelayMargin)
+			return Page{}, errors.New("no answer")
+		}})
+		synctest.Wait()
+		s.put("config", "2")
+		time.Sleep(maxApply)
+		is.New(t).Equal(seen()["config"], "2")
+	})
+}
