place: one division for a server that is cold and named a limit

The limit and the rate of cold servers were divided over different daemons, so that few or none had a part in both and the server got no calls while it was cold. The limit now follows the division of the cold server.

--- a/place/cold_test.go
+++ b/place/cold_test.go
@@ -171,6 +171,15 @@
 			is.Equal(left(r), maxColdTime)
 		})
 	})
+	t.Run("with a limit", func(t *testing.T) {
+		restricted(t, func(is *is.I, r *rig) {
+			r.RecordLimit(r.instance(0), 2)
+			r.MarkCold(r.instance(0), 3*time.Second)
+			is.Equal(r.Dump()[0].LimitPart, 2/float64(divideCold(coldPerSecond, r.options.Cold).parts))
+			time.Sleep(3*time.Second + memberPeriod + sweepPeriod)
+			is.Equal(r.Dump()[0].LimitPart, 2.0)
+		})
+	})
 	t.Run("before the entry", func(t *testing.T) {
 		restricted(t, func(is *is.I, r *rig) {
 			i := r.instance(0)
--- a/place/division.go
+++ b/place/division.go
@@ -126,14 +126,16 @@
 // partRate returns the requests a second that this daemon may send to a server that is
 // restricted.
 func (p *Pool) partRate(s *server, d daemons, now time.Time) float64 {
-	rate := math.Inf(1)
+	limit := math.Inf(1)
 	if n := s.notice; n != nil && n.limit.named {
-		rate = divideLimit(n.limit.perSecond, len(d.live)).rate(rankOf(s, d.live, true))
+		limit = max(n.limit.perSecond, limitMin)
 	}
 	if s.coldLeft(now) > 0 {
-		rate = min(rate, p.coldRate(s, d.known, now))
+		// One division holds for both, so that a daemon with a part in it has one in the
+		// limit.
+		return min(p.coldRate(s, d.known, now), limit/float64(s.cold.division.parts))
 	}
-	return rate
+	return divideLimit(limit, len(d.live)).rate(rankOf(s, d.live, true))
 }
 
 // updateLimits divides the limits anew, since daemons come and go, and ends those that
--- a/place/pool.go
+++ b/place/pool.go
@@ -195,12 +195,13 @@
 func (p *Pool) SetServices(services []route.Service) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
 	for _, v := range services {
 		g := p.serviceState(v.Name)
 		g.engine, g.cold = v.Engine, newColdRule(v, p.options.Cold)
 		for _, s := range g.servers {
 			s.setEngine(v.Engine)
-			p.watchLimit(s, time.Now())
+			p.watchLimit(s, now)
 		}
 	}
 }
