soak: evacuate a zone during the faults

A random zone is evacuated in each run until the faults end, and no call may run at its servers from 3 s on, unless the daemon or the store was disturbed.

--- a/soak/check.go
+++ b/soak/check.go
@@ -22,6 +22,9 @@
 	// leavingServers holds the time spans in which a backend server was listed as
 	// leaving.
 	leavingServers map[string][]timeSpan
+	// evacuatedServers holds the time spans in which the zone of a backend server was
+	// evacuated.
+	evacuatedServers map[string][]timeSpan
 	// storeFaults holds the time spans in which daemons may lag behind the store
 	// because of its faults.
 	storeFaults []timeSpan
@@ -56,7 +59,7 @@
 }
 
 func newChecker() *checker {
-	return &checker{revokedKeys: map[int][]timeSpan{}, disturbances: map[string][]time.Time{}, leavingServers: map[string][]timeSpan{}}
+	return &checker{revokedKeys: map[int][]timeSpan{}, disturbances: map[string][]time.Time{}, leavingServers: map[string][]timeSpan{}, evacuatedServers: map[string][]timeSpan{}}
 }
 
 // recordCall adds a call that has ended.
@@ -239,6 +242,7 @@
 				c.addViolationLocked("call %s ran %v after its key was revoked", id, s.sent.Sub(span.from))
 			}
 		}
+		c.checkEvacuation(s, r)
 		for _, span := range c.leavingServers[r.Instance] {
 			if s.daemonUndisturbed && span.contains(s.sent, leavingServerGrace) && span.contains(r.ReceivedAt, leavingServerGrace) && !c.hadStoreFault(span.from, r.ReceivedAt) {
 				c.addViolationLocked("call %s ran at %s %v after it was listed as leaving", id, r.Instance, r.ReceivedAt.Sub(span.from))
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -28,6 +28,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.options.FaultDuration)
 	defer cancel()
 	s.limitServer()
+	s.evacuateZone(ctx)
 	for sleep(ctx, time.Duration(s.random.Int64N(int64(2*meanFaultInterval)))) {
 		s.checker.countFault()
 		duration := time.Duration(s.random.Int64N(int64(maxFaultDuration)))
@@ -266,6 +267,7 @@
 	s.logFault("all faults end")
 	s.storeProxy.setMode(PassThrough)
 	s.store.SetMode(stub.Answering)
+	s.restoreZone()
 	for _, b := range s.servers {
 		b.proxy.setMode(PassThrough)
 		b.SetFault(nil)
--- a/soak/process.go
+++ b/soak/process.go
@@ -119,6 +119,7 @@
 	s := setting.DefaultEdge()
 	s.Name, s.Zone, s.StoreAddress, s.Seeds = fmt.Sprintf("edge-%d", n), fmt.Sprintf("zone-%d", n%zones), store, seeds
 	s.KeyTrustTime = setting.Duration(keyTrustTime)
+	s.MaxEvacuationDelay = setting.Duration(evacuationGrace)
 	s.RetryBudget.Slack = 50
 	s.CallerAddress, s.ReadinessAddress, s.PeerAddress, s.MetricsAddress = address(0), address(1), address(2), address(3)
 	return s
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -78,6 +78,8 @@
 
 	mu     sync.Mutex
 	config route.Document
+	// evacuated is the zone that is evacuated; empty for none.
+	evacuated string
 }
 
 // backend is a backend server behind a proxy.
