--- a/inventory/follower.go
+++ b/inventory/follower.go
@@ -72,9 +72,11 @@
 
 // Follower follows the items below one key prefix.
 type Follower struct {
-	options      Options
-	lastAnswer   time.Time
-	lost         bool
+	options    Options
+	lastAnswer time.Time
+	lost       bool
+	// failed is true after a call that failed, until one succeeds.
+	failed       bool
 	retryBackoff *backoff.ExponentialBackOff
 	// relayed is true if another daemon answered the last watch, relayFailedAt when
 	// last none did.
@@ -170,13 +172,13 @@
 			return p, began, nil
 		}
 		if !errors.Is(err, ErrNoReader) {
-			f.relayFailedAt = time.Now()
+			f.relayFailedAt, f.failed = time.Now(), true
 		}
 	}
 	sleep(ctx, time.Until(f.nextReadAt))
 	timeout := f.options.WatchTimeout
-	if f.options.Feed != nil && f.options.Feed.isUsed() {
-		timeout = min(timeout, feedWatchTimeout)
+	if f.failed || f.options.Feed != nil && f.options.Feed.isUsed() {
+		timeout = min(timeout, shortWatchTimeout)
 	}
 	began := f.options.Now()
 	callCtx, cancel := context.WithTimeout(ctx, timeout+callTimeout)
@@ -230,7 +232,7 @@
 			f.options.OnStoreRegained(silence)
 		}
 	}
-	f.lastAnswer = time.Now()
+	f.lastAnswer, f.failed = time.Now(), false
 	f.retryBackoff.Reset()
 }
 
@@ -239,6 +241,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	f.failed = true
 	if !f.lost && time.Since(f.lastAnswer) > storeLostAfter {
 		f.lost = true
 		f.options.Journal.Note("", "store_lost", "age", time.Since(f.lastAnswer), "error", err)
