platform: read the load that a server states of itself

Servers of some services state in each answer the requests that they run, those that wait, their slots, and how long work takes on their machine at the moment. AnswerHead.Load carries these figures.

--- a/backend/relay.go
+++ b/backend/relay.go
@@ -88,6 +88,10 @@
 	// together; HasLimit is false if it states none.
 	Limit    float64
 	HasLimit bool
+	// Load is the load that the server states of itself; HasLoad is false if it states
+	// none.
+	Load    wigeonladder.ServerLoad
+	HasLoad bool
 	// KeepAliveTimeout is the time for which the server keeps an idle connection, as
 	// it states; 0 if it states none.
 	KeepAliveTimeout time.Duration
--- a/call.go
+++ b/call.go
@@ -94,6 +94,16 @@
 	return i.ID == o.ID && i.StartUnixMs == o.StartUnixMs && i.Address == o.Address
 }
 
+// ServerLoad is the load that a backend server states of itself.
+type ServerLoad struct {
+	// Running is the number of requests that the server runs, Waiting the number of
+	// those in its queue, Slots the number that it runs concurrently.
+	Running, Waiting, Slots int
+	// WorkTime is how long work takes at this moment relative to the usual time of
+	// the server's machine; 0 if the server does not state it.
+	WorkTime float64
+}
+
 // Answer is the head of a backend server's answer: its status and headers.
 type Answer struct {
 	Status int
