--- a/place/choose.go
+++ b/place/choose.go
@@ -135,9 +135,6 @@
 	if otherZone {
 		o.rank += crossZonePenalty
 	}
-	if s.workTime.IsKnown() {
-		o.rank += s.idleTime()
-	}
 	return o
 }
 
