--- a/place/pool.go
+++ b/place/pool.go
@@ -49,6 +49,8 @@
 	used    map[*server]struct{}
 	// imported is the buffer of serverLoads.
 	imported []serverLoad
+	// stated contains the servers that stated their load since the last report.
+	stated map[*server]struct{}
 	// sentParts contains the prompt parts that were sent since the last report.
 	sentParts []SentPart
 	// leaving contains the servers that said since the last report that they leave.
@@ -79,7 +81,7 @@
 type serviceState struct {
 	name    string
 	engine  *route.Engine
-	runTime runTime
+	rates   *serviceRates
 	cold    coldRule
 	servers map[string]*server
 	// order contains the servers sorted by name, so that the choice among
@@ -111,7 +113,7 @@
 		o.LiveDaemons = func() int { return 1 }
 	}
 	p := &Pool{
-		options: o, services: map[string]*serviceState{}, servers: map[string]*server{}, used: map[*server]struct{}{}, notices: notices{byIncarnation: map[incarnation]*notice{}},
+		options: o, services: map[string]*serviceState{}, servers: map[string]*server{}, used: map[*server]struct{}{}, stated: map[*server]struct{}{}, notices: notices{byIncarnation: map[incarnation]*notice{}},
 		limitLifetime: limitLifetime + rand.N(limitLifetime/2), // #nosec G404
 		remote:        newRemoteDaemons(), unread: map[*Lease]struct{}{}, sweptAt: time.Now(), startedAt: time.Now(),
 	}
@@ -146,7 +148,7 @@
 func (p *Pool) serviceState(name string) *serviceState {
 	g := p.services[name]
 	if g == nil {
-		g = &serviceState{name: name, runTime: runTime{initialRunTime}, servers: map[string]*server{}, queues: map[string][]*Job{}, backlogs: map[string]*admission.Backlog{}}
+		g = &serviceState{name: name, rates: newServiceRates(), servers: map[string]*server{}, queues: map[string][]*Job{}, backlogs: map[string]*admission.Backlog{}}
 		p.services[name] = g
 	}
 	return g
@@ -167,7 +169,7 @@
 	if s := g.servers[i.ID]; s != nil && s.instance.SameStart(i) {
 		s.instance = i
 	} else {
-		s := newServer(i, g.engine, &g.runTime)
+		s := newServer(i, g.engine, g.rates)
 		s.cold = &g.cold
 		s.notice = p.notices.byIncarnation[incarnationOf(i)]
 		g.servers[i.ID] = s
@@ -336,7 +338,7 @@
 	l.load.unreadTokens = 0
 	now := time.Now()
 	l.firstTokenAt = now
-	s.updateLatencyRatio(l.ExpectedFirstToken, now.Sub(l.sentAt))
+	s.learn(l, now)
 	p.recordHeard(s, now)
 	p.drain(p.serviceState(l.job.Service))
 }
@@ -372,7 +374,7 @@
 		s.recordOutcome(false, now)
 		p.recordHeard(s, now)
 		if l.gotFirstToken {
-			s.runTime.record(now.Sub(l.firstTokenAt))
+			s.rates.runTime.record(now.Sub(l.firstTokenAt))
 		}
 	case Failed, Declined:
 		s.recordOutcome(true, now)
