backend: write no request to a connection on which bytes wait

Cause: an idle connection was looked at when it left the pool. Bytes that arrived between that and the writing of the request, or on a connection that had just opened, counted as the beginning of the answer: a refusal of nobody as "not run". A long request is written in the background, and its answer was read before the writing had begun.

Change: the connection is looked at immediately before the first byte is written. An answer is read only once the writing has begun.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -41,6 +41,10 @@
 // errTooLong is the error of a body that exceeds its size limit.
 var errTooLong = errors.New("the answer exceeds the size limit")
 
+// errUnusable is the error of a connection that has ended, or on which bytes arrived,
+// before a request was written to it.
+var errUnusable = errors.New("the connection ended, or bytes arrived on it, before the request was written")
+
 // writeBuffers pools write buffers, since a request needs one only while it is
 // written.
 var writeBuffers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, 4<<10) }}
@@ -87,7 +91,12 @@
 }
 
 // write writes a request to the connection, and notes whether its answer has a body.
+// It writes nothing if the connection has ended, or if bytes have arrived on it, which
+// would be taken for the beginning of the answer.
 func (x *exchange) write(req *fasthttp.Request) error {
+	if !x.conn.usable() {
+		return errUnusable
+	}
 	x.noBody = req.Header.IsHead()
 	return x.send(req)
 }
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -219,10 +219,13 @@
 	}
 }
 
-// usable reports whether an idle connection is still open and has no unread
+// usable reports whether a connection without a request is still open and has no unread
 // bytes. It peeks at the socket without blocking, so that no request is written
 // to a connection that the server has already closed.
 func (c *serverConn) usable() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
 	s, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
--- a/backend/relay.go
+++ b/backend/relay.go
@@ -193,24 +193,32 @@
 		defer fasthttp.ReleaseRequest(req)
 		return p.exchange.write(req)
 	}
-	// Set here because the answer may be read before the background has begun.
 	p.exchange.noBody = req.Header.IsHead()
 	p.writeResult = make(chan error, 1)
+	begun := make(chan struct{})
 	go func() {
 		defer fasthttp.ReleaseRequest(req)
 		// The goroutine may start late in a daemon that is short of processor time.
-		if err := a.checkBeforeSend(); err != nil {
+		err := a.checkBeforeSend()
+		if err == nil && !p.exchange.conn.usable() {
+			err = asError(notSentError(p.ctx, p.place, errUnusable))
+		}
+		if err != nil {
 			p.writeResult <- err
 			_ = p.exchange.conn.Close()
+			close(begun)
 			return
 		}
+		close(begun)
 		p.writeResult <- p.exchange.send(req)
 	}()
+	// Bytes that arrive before the request is written are no answer to it.
+	<-begun
 	return nil
 }
 
-// failedCheck returns the error of the check before a background write if that kept
-// the request from being sent, or nil.
+// failedCheck returns the error of a check before a background write if that kept the
+// request from being sent, or nil.
 func (p *Response) failedCheck() *wigeonladder.Error {
 	if p.writeResult == nil {
 		return nil
