backend: a failure without an id on a used connection is of unknown origin

Cause: the client of serve took a status of 500 and above without an id as the failure of its attempt, and any document with status 200 as the load report that it asked for. Both may be answers to an earlier call.

Change: such a failure counts only for the first request of a connection; a document that carries the id of a call is no load report. A property test lets a server leave any part of an earlier answer before the answer to a call, for seven kinds of answers, six true answers and both clients: the call ends with the truth or as one that may have run.

--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -23,6 +23,9 @@
 	sink      wigeonladder.Sink
 	attemptID string
 	isModel   bool
+	// firstOnConn is true if the request is the first on its connection, so that an
+	// answer without an id belongs to no other.
+	firstOnConn bool
 
 	// notRun is true if it is certain that the request did not run.
 	notRun bool
@@ -134,6 +137,7 @@
 			return r.beforeSendError(err)
 		}
 	}
+	r.firstOnConn = !x.conn.used
 	r.sentAt = time.Now()
 	err := x.write(httpRequest)
 	if err == nil {
@@ -192,7 +196,7 @@
 	switch {
 	case Repeated(&x.header, HeaderAttempt, HeaderNotRun, HeaderResume), refused && status < fasthttp.StatusBadRequest:
 		return r.errorf(wigeonladder.CodeCrossed, "status %d with contradictory headers", status)
-	case echo == "" && status >= fasthttp.StatusInternalServerError:
+	case echo == "" && status >= fasthttp.StatusInternalServerError && r.firstOnConn:
 		return r.errorf(wigeonladder.CodeBackend, "status %d without %s", status, HeaderAttempt)
 	case echo != r.attemptID:
 		// The echo is checked before a refusal, because the refusal of another
--- a/backend/client.go
+++ b/backend/client.go
@@ -189,6 +189,9 @@
 	if err := x.readHeader(); err != nil {
 		return nil, err
 	}
+	if id := x.header.Peek(HeaderAttempt); len(id) > 0 {
+		return nil, strayBytesError("the answer belongs to call %q", id)
+	}
 	if status := x.header.StatusCode(); status != fasthttp.StatusOK {
 		return nil, wigeonladder.Errorf(wigeonladder.CodeBackend, "", "status %d", status)
 	}
