exchange: drop reports and totals of an earlier incarnation

Cause: a report whose incarnation differs from the last one counted as newer. A report of a daemon that comes late over another daemon, after the daemon has started again, brought back its state before: draining, its zone, its sequence. Two reports that wait for one relay were combined across a start, so that totals before it were sent as those after it.

Change: the incarnation before the present one is remembered and its reports are dropped; combining two incarnations drops the totals and charges of the first.

Result: TestReportsOfAnEarlierIncarnationAreDropped and TestTotalsOfAnEarlierIncarnationAreNotPassedOn fail on the code before and pass.

--- a/exchange/merge.go
+++ b/exchange/merge.go
@@ -10,8 +10,11 @@
 
 // WithNext returns one report that combines this one with a later one of the
 // same daemon. Totals and charges are cumulative, so that the later row of a
-// workspace replaces the earlier one.
+// workspace replaces the earlier one. Those of an earlier incarnation are dropped.
 func (r Report) WithNext(next Report) Report {
+	if r.Incarnation != next.Incarnation {
+		r.Charges, r.Totals = nil, nil
+	}
 	r.From, r.Zone, r.Incarnation, r.Sequence, r.MaxIntervalMs = next.From, next.Zone, next.Incarnation, next.Sequence, next.MaxIntervalMs
 	r.Draining = next.Draining
 	r.Place = r.Place.WithNext(next.Place)
--- a/exchange/mesh.go
+++ b/exchange/mesh.go
@@ -221,12 +221,12 @@
 	now := time.Now()
 	m.mu.Lock()
 	last := m.origins[r.From]
-	if last.incarnation == r.Incarnation && r.Sequence <= last.sequence {
+	if last.isOutdated(r) {
 		m.mu.Unlock()
 		return false
 	}
 	sameZone := m.isInZone(r, method == methodReport)
-	m.origins[r.From] = origin{incarnation: r.Incarnation, sequence: r.Sequence, validUntil: now.Add(r.Lifetime()), sameZone: sameZone, zone: r.Zone, draining: r.Draining}
+	m.origins[r.From] = last.with(r, sameZone, now)
 	if sameZone {
 		m.holdForRelay(r)
 	}
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -9,6 +9,9 @@
 // origin is the state of one daemon whose reports arrive.
 type origin struct {
 	incarnation string
+	// previous is the incarnation before, whose reports may still arrive over another
+	// daemon.
+	previous string
 	// sequence is the number of the newest report.
 	sequence int64
 	// validUntil is the time at which the newest report expires.
@@ -21,6 +24,26 @@
 	draining bool
 }
 
+// isOutdated reports whether a report is not newer than what is known of its daemon.
+func (o origin) isOutdated(r Report) bool {
+	if r.Incarnation == o.incarnation {
+		return r.Sequence <= o.sequence
+	}
+	return o.previous != "" && r.Incarnation == o.previous
+}
+
+// with returns the state of the daemon after a report that is not outdated.
+func (o origin) with(r Report, sameZone bool, now time.Time) origin {
+	next := origin{
+		incarnation: r.Incarnation, previous: o.previous, sequence: r.Sequence, validUntil: now.Add(r.Lifetime()),
+		sameZone: sameZone, zone: r.Zone, draining: r.Draining,
+	}
+	if r.Incarnation != o.incarnation {
+		next.previous = o.incarnation
+	}
+	return next
+}
+
 // relay sends the reports of this zone to one daemon of each other zone, which
 // forwards them to the daemons of its zone. One daemon relays for its whole
 // zone; a daemon that receives no report from its zone relays its own reports.
