inventory: an unreadable entry of an older revision removes no server

Cause: an entry that cannot be decoded removed its server whatever its revision. A watch repeats changes that a list has already shown.

Change: it is ignored if a later entry of the server is known.

Result: the new case of TestEntriesWrittenBefore fails on the code before and passes.

--- a/inventory/server_list.go
+++ b/inventory/server_list.go
@@ -81,7 +81,7 @@
 }
 
 // applyItem applies one change. An entry that cannot be decoded removes its
-// server. It reports whether the change tells something new.
+// server, unless a later one is known. It reports whether the change tells something new.
 func (l *ServerList) applyItem(i Item) bool {
 	if i.Removed {
 		l.removeEntry(i)
@@ -89,6 +89,9 @@
 	}
 	e, err := l.decode(i)
 	s := e.Instance
+	if err != nil && i.Revision < l.versions.revision(i.Key) {
+		return false
+	}
 	if err != nil {
 		if _, known := l.entries[i.Key]; known {
 			l.removeServer(i.Key)
--- a/inventory/stale_test.go
+++ b/inventory/stale_test.go
@@ -66,6 +66,14 @@
 		l.Apply([]Item{{Key: "a", Value: []byte("0 1"), Revision: 8}, {Key: "a", Removed: true, Revision: 7}})
 		is.New(t).True(x.leaving("a"))
 	})
+	t.Run("unreadable entry of an older revision", func(t *testing.T) {
+		l, x := newEntryList()
+		l.Reset([]Item{{Key: "a", Value: []byte("7 2"), Revision: 9}})
+		l.Apply([]Item{{Key: "a", Value: []byte("unreadable"), Revision: 8}})
+		is.New(t).True(x.has("a"))
+		l.Apply([]Item{{Key: "a", Value: []byte("unreadable"), Revision: 10}})
+		is.New(t).True(!x.has("a"))
+	})
 	t.Run("start with a clock that was set back", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			l, x := newEntryList()
