admission, edge, forward: refuse what the daemon itself cannot serve in time

Logs of the zone's daemons: timers 1 to 20 ms late, nothing shed, 150 calls a second of 9 kB read (the link's 10 Mbit/s), 13,500 calls refused as stale since the store's answers wait behind the requests. The link binds, not the processor, the listener or the number of calls.

Cause: a daemon behind a full link places calls whose callers will have gone when the answer comes, and which take the room of other zones' calls. A daemon that is out of processor time works on every call, so that none is in time.

Change: an optional setting, bandwidth. Calls are refused, the same part of each workspace's, as the requests of callers come near the rate of the link, or when the delay of the daemon's timers leaves no time for them.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 
+	"github.com/wigeonladder/wigeonladder/admission"
 	"github.com/wigeonladder/wigeonladder/backend"
 	"github.com/wigeonladder/wigeonladder/conn"
 	"github.com/wigeonladder/wigeonladder/exchange"
@@ -125,6 +126,7 @@
 	// suspicionsSentAt is the time of the last report with all suspicions.
 	suspicionsSentAt time.Time
 	front            *front.Server
+	gate             *gate
 	seeds            atomic.Pointer[[]string]
 	leaving          atomic.Bool
 	// stopsAt is the time at which a stopping daemon ends the calls that still run; nil
@@ -278,12 +280,13 @@
 // serveCallers starts to serve callers and to answer readiness checks.
 func (d *Daemon) serveCallers(ctx context.Context) error {
 	s := d.settings
+	d.gate = &gate{timerDelay: d.pool.TimerDelay, link: admission.NewLink(float64(s.LinkMbps))}
 	forwarder := forward.New(forward.Options{
 		TableStore: d.tableStore, Pool: d.pool, Sender: d.relay, Suspects: d.suspects, Journal: d.journal, Meter: d.meter,
 		Budget: retry.NewSharedBudget(retry.Allowance{
 			Ratio: float64(s.RetryBudget.Ratio), Slack: float64(s.RetryBudget.Slack), Period: time.Duration(s.RetryBudget.Period),
 		}, d.knownDaemons),
-		Daemons: d.knownDaemons, StopsAt: d.stopTime,
+		Daemons: d.knownDaemons, StopsAt: d.stopTime, Gate: d.gate,
 	})
 	callers, err := conn.ListenWithoutKeepAlive(ctx, s.CallerAddress)
 	if err != nil {
--- /dev/null
+++ b/edge/gate.go
@@ -0,0 +1,65 @@
+package edge
+
+import (
+	"sync"
+	"time"
+
+	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/admission"
+	"github.com/wigeonladder/wigeonladder/forward"
+)
+
+// gate applies an admission.DaemonGate to the measured load of the process. It implements
+// forward.Gate.
+type gate struct {
+	timerDelay func() time.Duration
+
+	mu      sync.Mutex
+	gate    admission.DaemonGate
+	link    *admission.Link
+	refused int
+}
+
+var _ forward.Gate = (*gate)(nil)
+
+// Refusal implements forward.Gate.
+func (g *gate) Refusal(h admission.Head) *wigeonladder.Error {
+	delay := g.timerDelay()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.link.Add(now, h.BodyBytes)
+	err := g.gate.Refusal(g.load(delay, now), h)
+	if err != nil {
+		g.refused++
+	}
+	return err
+}
+
+// HopelessRefusal implements forward.Gate.
+func (g *gate) HopelessRefusal(h admission.Head) *wigeonladder.Error {
+	delay := g.timerDelay()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	err := g.load(delay, now).HopelessRefusal(h)
+	if err != nil {
+		// The caller has sent the body, or most of it, all the same.
+		g.link.Add(now, h.BodyBytes)
+		g.refused++
+	}
+	return err
+}
+
+// load returns the load of the process. It must be called with the lock held.
+func (g *gate) load(timerDelay time.Duration, now time.Time) admission.DaemonLoad {
+	return admission.DaemonLoad{TimerDelay: timerDelay, LinkUse: g.link.Use(now)}
+}
+
+// stats returns the use of the link and the number of calls that were refused since the
+// start.
+func (g *gate) stats() (linkUse float64, refused int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.link.Use(time.Now()), g.refused
+}
--- a/edge/observe.go
+++ b/edge/observe.go
@@ -28,13 +28,14 @@
 // logLoad logs one line for each service at which calls wait or run.
 func (d *Daemon) logLoad() {
 	stats := d.pool.Stats()
+	linkUse, gated := d.gate.stats()
 	for _, s := range stats.Services {
 		if s.Waiting == 0 && s.Running == 0 {
 			continue
 		}
 		d.journal.Note("", "load", "service", s.Service, "servers", s.Servers, "available", s.Available, "running", s.Running,
 			"waiting", s.Waiting, "waiting_tokens", s.WaitingTokens, "mean_wait", s.MeanWait, "wasted", s.WastedCost,
-			"sweep_delay", stats.SweepDelay, "open", d.front.OpenCalls(), "connections", d.front.OpenConns(), "shed", d.front.ShedConns(), "daemons", d.liveDaemons())
+			"sweep_delay", stats.SweepDelay, "timer_delay", stats.TimerDelay, "link_use", linkUse, "gated", gated, "open", d.front.OpenCalls(), "connections", d.front.OpenConns(), "shed", d.front.ShedConns(), "daemons", d.liveDaemons())
 	}
 }
 
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/admission"
 	"github.com/wigeonladder/wigeonladder/backend"
 	"github.com/wigeonladder/wigeonladder/place"
 	"github.com/wigeonladder/wigeonladder/retry"
@@ -50,6 +51,8 @@
 	// StopsAt returns the time at which the daemon ends the calls that still run; zero
 	// while it is not stopping. Nil means that it never stops.
 	StopsAt func() time.Time
+	// Gate decides which calls this daemon can serve in time; nil admits all.
+	Gate Gate
 	// Daemons returns the number of daemons that share the connections of a
 	// backend server; nil for one.
 	Daemons func() int
@@ -63,6 +66,16 @@
 	ObserveCall(service string, code wigeonladder.Code, first, whole time.Duration)
 }
 
+// Gate refuses the calls that this daemon cannot serve in time, whatever the servers can
+// do. It must be safe for concurrent use.
+type Gate interface {
+	// Refusal returns the error for a call that is refused, or nil. It counts the call.
+	Refusal(h admission.Head) *wigeonladder.Error
+	// HopelessRefusal returns the error for a call that would certainly be refused, or
+	// nil. It does not count the call.
+	HopelessRefusal(h admission.Head) *wigeonladder.Error
+}
+
 // Forwarder runs calls on backend servers and relays their answers.
 type Forwarder struct{ options Options }
 
@@ -154,6 +167,11 @@
 	if err := r.checkStop(); err != nil {
 		return err
 	}
+	if g := r.forwarder.options.Gate; g != nil {
+		if err := g.Refusal(headOf(r.call, m, len(r.call.Body))); err != nil {
+			return err
+		}
+	}
 	r.job = &place.Job{
 		ID: r.call.ID, Service: m.Service.Name, Workspace: m.Workspace, Prompt: r.call.Prompt,
 		ArrivedAt: r.call.Received, TargetLatency: m.Route.TargetLatency, Deadline: r.deadline, ExcludedServers: map[string]bool{},
--- a/place/overload_test.go
+++ b/place/overload_test.go
@@ -23,8 +23,7 @@
 	// engineReadRate is the number of tokens that an engine of a loadTest reads in a
 	// millisecond.
 	engineReadRate = 90
-	// loadDaemons and loadServers are the numbers of daemons and of servers of a loadTest.
-	loadDaemons = 4
+	// loadServers is the number of servers of a loadTest.
 	loadServers = 6
 	// loadFactorOne is the number of calls a second that its servers begin in time.
 	loadFactorOne = 126
@@ -41,13 +40,13 @@
 	inTime, late, refused, refusedAtOnce int
 }
 
-// newLoadTest returns a fleet without load.
-func newLoadTest(ctx context.Context) *loadTest {
+// newLoadTest returns a fleet of a number of daemons without load.
+func newLoadTest(ctx context.Context, daemons int) *loadTest {
 	f := &loadTest{freeAt: map[string]time.Time{}}
-	for i := range loadDaemons {
+	for i := range daemons {
 		name := fmt.Sprintf("d%d", i)
-		w := fair.NewWindow(func() int { return loadDaemons })
-		p := NewPool(ctx, Options{Name: name, Zone: "zone-a", Shares: fair.NewCounters(fair.Options{HomeIncarnation: name}), Window: w, LiveDaemons: func() int { return loadDaemons }})
+		w := fair.NewWindow(func() int { return daemons })
+		p := NewPool(ctx, Options{Name: name, Zone: "zone-a", Shares: fair.NewCounters(fair.Options{HomeIncarnation: name}), Window: w, LiveDaemons: func() int { return daemons }})
 		p.SetServices([]route.Service{{Name: "model", Engine: &route.Engine{Slots: 64, CacheTokens: 600000}}})
 		w.SetCapacity(4000000)
 		for s := range loadServers {
@@ -132,19 +131,19 @@
 func (f *loadTest) run(ctx context.Context, factor float64, d time.Duration) {
 	n := int(factor * loadFactorOne * d.Seconds())
 	for i := range n {
-		go f.call(ctx, f.pools[i%loadDaemons], i, fmt.Sprintf("w%d", i/loadDaemons%4))
+		go f.call(ctx, f.pools[i%len(f.pools)], i, fmt.Sprintf("w%d", i/len(f.pools)%4))
 		time.Sleep(d / time.Duration(n))
 	}
 }
 
-// loadOutcome returns what became of the calls at a multiple of the load that the servers
-// carry.
-func loadOutcome(t *testing.T, factor float64) *loadTest {
+// loadOutcome returns what became of the calls that a number of daemons got at a multiple
+// of the load that the servers carry.
+func loadOutcome(t *testing.T, daemons int, factor float64) *loadTest {
 	t.Helper()
 	var f *loadTest
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		f = newLoadTest(ctx)
+		f = newLoadTest(ctx, daemons)
 		go f.exchange(ctx)
 		f.run(ctx, 0.8, 3*time.Second) // caches fill
 		time.Sleep(2 * time.Second)
@@ -156,7 +155,7 @@
 		time.Sleep(time.Second)
 		synctest.Wait()
 	})
-	t.Logf("factor %v: %d in time, %d late, %d refused, %d of them at once", factor, f.inTime, f.late, f.refused, f.refusedAtOnce)
+	t.Logf("%d daemons, factor %v: %d in time, %d late, %d refused, %d of them at once", daemons, factor, f.inTime, f.late, f.refused, f.refusedAtOnce)
 	return f
 }
 
@@ -164,8 +163,12 @@
 // served when they are late, in the place of others.
 func TestOverloadIsRefusedAtArrival(t *testing.T) {
 	is := is.New(t)
-	loadOutcome(t, 0.8)
-	one, two, four := loadOutcome(t, 1), loadOutcome(t, 2), loadOutcome(t, 4)
+	const daemons = 4
+	loadOutcome(t, daemons, 0.8)
+	one, two, four := loadOutcome(t, daemons, 1), loadOutcome(t, daemons, 2), loadOutcome(t, daemons, 4)
 	is.True((two.refusedAtOnce+four.refusedAtOnce)*10 >= (two.refused+four.refused)*9)
 	is.True(two.inTime*10 >= one.inTime*9)
+	for _, factor := range []float64{0.8, 1, 2, 4} {
+		loadOutcome(t, 1, factor) // one queue for all, for comparison
+	}
 }
--- a/place/pool.go
+++ b/place/pool.go
@@ -63,6 +63,8 @@
 	// longest delay of a sweep since the last call of Stats.
 	sweptAt       time.Time
 	maxSweepDelay time.Duration
+	// sweepDelay is the mean delay of the sweeps.
+	sweepDelay admission.Delay
 	// lateUntil is the time until which the daemon counts as late.
 	lateUntil time.Time
 }
--- a/place/stats.go
+++ b/place/stats.go
@@ -11,6 +11,8 @@
 	// SweepDelay is by how much a check of the waiting jobs was late at most
 	// since the last Stats. It grows when the daemon lacks processor time.
 	SweepDelay time.Duration
+	// TimerDelay is the mean delay of the checks of late.
+	TimerDelay time.Duration
 	Services   []ServiceStats
 }
 
@@ -38,7 +40,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	st := Stats{SweepDelay: max(p.maxSweepDelay, now.Sub(p.sweptAt)-sweepPeriod)}
+	st := Stats{SweepDelay: max(p.maxSweepDelay, now.Sub(p.sweptAt)-sweepPeriod), TimerDelay: p.sweepDelay.Mean()}
 	p.maxSweepDelay = 0
 	for _, g := range p.services {
 		st.Services = append(st.Services, g.stats(now))
@@ -47,6 +49,13 @@
 	return st
 }
 
+// TimerDelay returns the mean delay of late with which timers of the process fire.
+func (p *Pool) TimerDelay() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sweepDelay.Mean()
+}
+
 // MeanRunTime returns the mean time from the first token of a call of a service to its
 // end.
 func (p *Pool) MeanRunTime(service string) time.Duration {
@@ -76,6 +85,7 @@
 func (p *Pool) recordSweep(now time.Time) {
 	delay := now.Sub(p.sweptAt) - sweepPeriod
 	p.maxSweepDelay = max(p.maxSweepDelay, delay)
+	p.sweepDelay.Fire(now, sweepPeriod)
 	if delay > lateSweepDelay {
 		p.lateUntil = now.Add(lateTime)
 	}
--- a/setting/edge.go
+++ b/setting/edge.go
@@ -24,6 +24,9 @@
 	MemoryMB Count `json:"memory"`
 	// MaxOpenFiles is the number of file descriptors that the process may open.
 	MaxOpenFiles Count `json:"files"`
+	// LinkMbps is the rate of the machine's network link in megabits a second in each
+	// direction; 0 if it is not known.
+	LinkMbps Decimal `json:"bandwidth,omitempty"`
 	// ShutdownGracePeriod is the time that the process has between the signal to
 	// stop and its exit.
 	ShutdownGracePeriod Duration `json:"grace"`
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -231,12 +231,13 @@
 	is := is.New(t)
 	s, err := ParseEdge("edge.json", []byte(`{"name":"e","zone":"z","front":"127.0.0.1:1","ready":"127.0.0.1:2",
 		"peer":"127.0.0.1:3","store":"127.0.0.1:4","seeds":["127.0.0.1:5"],"keyTrust":"5000ms","grace":"8s","apply":"3000ms","leave":"2500ms",
-		"retry":{"ratio":"0.2","slack":"54","period":"10s"},"memory":414,"files":6150}`))
+		"retry":{"ratio":"0.2","slack":"54","period":"10s"},"memory":414,"files":6150,"bandwidth":"1500"}`))
 	is.NoErr(err)
 	is.Equal(s.RetryBudget, RetryBudget{Ratio: 0.2, Slack: 54, Period: Duration(10 * time.Second)})
 	is.Equal(s.KeyTrustTime, Duration(5*time.Second))
 	is.Equal([]Duration{s.MaxApplyDelay, s.MaxLeaveDelay}, []Duration{Duration(3 * time.Second), Duration(2500 * time.Millisecond)})
 	is.Equal([]Count{s.MemoryMB, s.MaxOpenFiles}, []Count{414, 6150})
+	is.Equal(s.LinkMbps, Decimal(1500))
 	s, err = ParseEdge("edge.json", []byte(`{"name":"e","zone":"z","front":"127.0.0.1:1","ready":"127.0.0.1:2","peer":"127.0.0.1:3","store":"127.0.0.1:4"}`))
 	is.NoErr(err)
 	is.Equal(s.RetryBudget, DefaultEdge().RetryBudget)
