--- a/edge/observe.go
+++ b/edge/observe.go
@@ -43,6 +43,7 @@
 // logLoad logs one line for each service at which calls wait or run.
 func (d *Daemon) logLoad() {
 	stats := d.pool.Stats()
+	linkUse, gated := d.gate.stats()
 	for _, s := range stats.Services {
 		if s.Waiting == 0 && s.Running == 0 {
 			continue
@@ -50,7 +51,7 @@
 		d.journal.Note("", "load", "service", s.Service, "servers", s.Servers, "available", s.Available, "evacuated", s.Evacuated, "cold", s.Cold, "running", s.Running,
 			"waiting", s.Waiting, "waiting_tokens", s.WaitingTokens, "mean_wait", s.MeanWait, "wasted", s.WastedCost,
 			"first_tokens", s.FirstTokens.Count, "ratio_p10", s.FirstTokens.P10, "ratio_p50", s.FirstTokens.P50, "ratio_p90", s.FirstTokens.P90, "ratio_p99", s.FirstTokens.P99,
-			"sweep_delay", stats.SweepDelay, "open", d.front.OpenCalls(), "connections", d.front.OpenConns(), "shed", d.front.ShedConns(), "daemons", d.liveDaemons())
+			"sweep_delay", stats.SweepDelay, "timer_delay", stats.TimerDelay, "link_use", linkUse, "gated", gated, "open", d.front.OpenCalls(), "connections", d.front.OpenConns(), "shed", d.front.ShedConns(), "daemons", d.liveDaemons())
 	}
 }
 
