exchange: the hub of a zone is one of its largest machines

Daemons now tell the memory of their machine in the hello, and the hub is the first by name among the largest. Daemons of an earlier version tell none and come last; while versions are mixed, reports reach a daemon that is not the hub over the one that it follows, as before.

TestHubIsALargeMachine is new and needs the new field.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -179,7 +179,7 @@
 	}
 	feed := inventory.NewFeed(uptime)
 	d.mesh.Store(exchange.New(ctx, exchange.Options{
-		Self:     exchange.Member{Name: s.Name, Zone: s.Zone, Address: s.PeerAddress, Incarnation: incarnation},
+		Self:     exchange.Member{Name: s.Name, Zone: s.Zone, Address: s.PeerAddress, Incarnation: incarnation, MemoryMB: int64(s.MemoryMB)},
 		Listener: peers, Dial: dial, Seeds: func() []string { return *d.seeds.Load() },
 		Export: d.exportReport, Import: d.importReport, Known: d.known, Learn: d.learn, Feed: feed, Journal: d.journal,
 	}))
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -32,8 +32,8 @@
 	return m.hub != nil || m.isHub
 }
 
-// chooseHub chooses the hub of the zone: the daemon whose name comes first among
-// this one and those that are connected and heard. A daemon that was connected a
+// chooseHub chooses the hub of the zone: the best one by compareForHub among this
+// daemon and those that are connected and heard. A daemon that was connected a
 // moment ago counts as heard. Zones whose daemons do not all pass reports on have
 // none.
 func (m *Mesh) chooseHub(now time.Time) {
@@ -50,14 +50,14 @@
 		if !p.passes {
 			return
 		}
-		if p.connected && m.isHeard(p, now) && (first == nil || p.name < first.name) {
+		if p.connected && m.isHeard(p, now) && (first == nil || compareForHub(p.member(), first.member()) < 0) {
 			first = p
 		}
 	}
 	if zonePeers <= meshZonePeers {
 		return
 	}
-	if first != nil && first.name < m.options.Self.Name {
+	if first != nil && compareForHub(first.member(), m.options.Self) < 0 {
 		m.hub = first
 		return
 	}
--- a/exchange/hub_test.go
+++ b/exchange/hub_test.go
@@ -169,6 +169,26 @@
 	})
 }
 
+// Guards against a hub on a small machine, whose processor the messages of the zone keep
+// busy, while the zone has larger ones.
+func TestHubIsALargeMachine(t *testing.T) {
+	is := is.New(t)
+	m := &Mesh{options: Options{Self: Member{Name: "x", Zone: "a", MemoryMB: 500}}, peers: map[string]*peer{}, origins: map[string]origin{}}
+	now := time.Now()
+	for i := range meshZonePeers + 1 {
+		name := fmt.Sprintf("a%02d", i)
+		m.peers[name] = &peer{name: name, zone: "a", memoryMB: 144, passes: true, connected: true, connectedAt: now}
+	}
+	m.chooseHub(now)
+	is.True(m.isHub)
+	m.peers["a07"].memoryMB, m.peers["a09"].memoryMB = 500, 500
+	m.chooseHub(now)
+	is.Equal(m.hub.name, "a07")
+	m.peers["a07"].connected = false
+	m.chooseHub(now)
+	is.Equal(m.hub.name, "a09")
+}
+
 // Guards against a zone with daemons of an earlier version, which pass nothing on and
 // must get reports directly.
 func TestHubNeedsDaemonsThatPass(t *testing.T) {
--- a/exchange/mesh.go
+++ b/exchange/mesh.go
@@ -244,7 +244,7 @@
 func (m *Mesh) noteConnected(p *peer, conn *jsonrpc2.Conn, reply HelloReply) {
 	m.mu.Lock()
 	p.conn, p.feeds = conn, reply.Feeds
-	p.zone, p.name, p.passes, p.columns = reply.Self.Zone, reply.Self.Name, reply.Passes, reply.Columns
+	p.zone, p.name, p.memoryMB, p.passes, p.columns = reply.Self.Zone, reply.Self.Name, reply.Self.MemoryMB, reply.Passes, reply.Columns
 	p.connected, p.connectedAt = true, time.Now()
 	m.mu.Unlock()
 	if m.options.Learn != nil && reply.Known != nil {
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/wigeonladder/wigeonladder"
@@ -31,6 +32,16 @@
 	Address string `json:"a"`
 	// Incarnation is new at every start of the daemon.
 	Incarnation string `json:"i"`
+	// MemoryMB is the memory of the daemon's machine in units of 2^20 bytes; 0 if it is
+	// not known, as of a daemon of an earlier version.
+	MemoryMB int64 `json:"m,omitempty"`
+}
+
+// compareForHub orders daemons by how well they serve as the hub of a zone, the best
+// first: large machines, whose processors are not busy with the messages of a zone, and
+// among equal ones the first by name.
+func compareForHub(a, b Member) int {
+	return cmp.Or(cmp.Compare(b.MemoryMB, a.MemoryMB), cmp.Compare(a.Name, b.Name))
 }
 
 // HelloReply is the answer to a hello.
--- a/exchange/peer.go
+++ b/exchange/peer.go
@@ -26,12 +26,13 @@
 	mesh    *Mesh
 	address string
 	queue   chan message
-	// zone and name are those of the daemon, empty until it answers a hello.
+	// zone, name and memoryMB are those of the daemon, empty until it answers a hello.
 	// passes is true if it passes reports on, columns if it reads reports in columns,
 	// feeds if it offers what it reads from the store. conn is the connection, nil
 	// without one. connected is true while there is a
 	// connection, connectedAt when that began. The mutex of the mesh guards them.
 	zone, name  string
+	memoryMB    int64
 	passes      bool
 	columns     bool
 	feeds       bool
@@ -40,6 +41,11 @@
 	connectedAt time.Time
 }
 
+// member returns what the daemon told of itself.
+func (p *peer) member() Member {
+	return Member{Name: p.name, Zone: p.zone, Address: p.address, MemoryMB: p.memoryMB}
+}
+
 // run keeps a connection to the daemon until the context ends or there has been
 // no connection for forgetAfter.
 func (p *peer) run(ctx context.Context) {
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -93,7 +92,7 @@
 	m.relayTurn++
 	var l []*peer
 	for _, z := range zones {
-		slices.SortFunc(z, func(a, b *peer) int { return cmp.Compare(a.name, b.name) })
+		slices.SortFunc(z, func(a, b *peer) int { return compareForHub(a.member(), b.member()) })
 		targets := len(z)
 		if targets > meshZonePeers {
 			targets = hubRelayTargets
