conn, edge, inventory: reach the store again soon after a partition

Cause: a daemon that was cut off reached the store 1.2 to 1.6 s after the end of the cut: an attempt to connect that began in the cut waits for TCP to send its SYN again, and a backoff followed it.

Change: another attempt to connect to the store begins every 250 ms beside those that wait, and the backoff counts from the beginning of the failed call.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -73,6 +73,10 @@
 	// daemon, unackedTimeout the wait for the acknowledgement of sent bytes.
 	dialTimeout    = time.Second
 	unackedTimeout = 1500 * time.Millisecond
+	// storeRedialInterval is the time after which a daemon that cannot connect to the
+	// store tries again, beside the attempts that still wait: what it knows of leaving
+	// servers must be new within the contact time after a partition.
+	storeRedialInterval = 250 * time.Millisecond
 )
 
 // dial connects to the store or to another daemon.
@@ -144,7 +148,7 @@
 	debug.SetMemoryLimit(int64(float64(o.Settings.MemoryMB<<20) * memoryLimitFraction))
 	ctx, cancel := context.WithCancel(ctx)
 	d := &Daemon{
-		settings: o.Settings, platform: o.NewPlatform(dial), journal: operator.NewJournal(o.Log),
+		settings: o.Settings, platform: o.NewPlatform(conn.Redialing(dial, storeRedialInterval)), journal: operator.NewJournal(o.Log),
 		meter: NewMeter(), suspects: retry.NewSuspects(), cancel: cancel, startedAt: time.Now(),
 	}
 	d.seeds.Store(&o.Settings.Seeds)
--- a/inventory/follower.go
+++ b/inventory/follower.go
@@ -88,9 +88,10 @@
 	f := &Follower{options: o, lastAnswer: time.Now(), retryBackoff: backoff.NewExponentialBackOff()}
 	f.retryBackoff.InitialInterval, f.retryBackoff.MaxInterval = retryDelayMin, retryDelayMax
 	for ctx.Err() == nil {
+		began := time.Now()
 		revision, err := f.list(ctx)
 		if err != nil {
-			f.noteFailure(ctx, err)
+			f.noteFailure(ctx, err, began)
 			continue
 		}
 		f.watch(ctx, revision)
@@ -133,13 +134,14 @@
 // needs, or the context ends.
 func (f *Follower) watch(ctx context.Context, revision int64) {
 	for ctx.Err() == nil {
+		calledAt := time.Now()
 		p, began, err := f.readChanges(ctx, revision)
 		if errors.Is(err, ErrCompacted) {
 			f.options.Journal.Note("", "store_compacted", "after", revision)
 			return
 		}
 		if err != nil {
-			f.noteFailure(ctx, err)
+			f.noteFailure(ctx, err, calledAt)
 			continue
 		}
 		f.noteAnswer(p, false)
@@ -233,8 +235,10 @@
 	f.retryBackoff.Reset()
 }
 
-// noteFailure records a failed call and waits for the backoff delay.
-func (f *Follower) noteFailure(ctx context.Context, err error) {
+// noteFailure records a failed call and waits until the backoff delay has passed since
+// the call began. A call without an answer has taken longer, so that the next one
+// follows at once.
+func (f *Follower) noteFailure(ctx context.Context, err error, began time.Time) {
 	if ctx.Err() != nil {
 		return
 	}
@@ -242,7 +246,7 @@
 		f.lost = true
 		f.options.Journal.Note("", "store_lost", "age", time.Since(f.lastAnswer), "error", err)
 	}
-	sleep(ctx, f.retryBackoff.NextBackOff())
+	sleep(ctx, f.retryBackoff.NextBackOff()-time.Since(began))
 }
 
 // sleep waits for a time or until the context ends.
