memory, front: cheaper search for who gives way; count slow callers

The search runs under the budget's lock and as often as callers press, so it uses the sums that the budget keeps and no new slices. Metrics tell the calls that were sent or read too slowly.

--- a/crowd/rig_test.go
+++ b/crowd/rig_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -50,8 +51,10 @@
 
 func TestMain(m *testing.M) { os.Exit(run(m)) }
 
-// run builds the program and runs the tests.
+// run builds the program and runs the tests. It leaves processors to the tests of other
+// packages, which may run beside these and depend on time.
 func run(m *testing.M) int {
+	runtime.GOMAXPROCS(2)
 	dir, err := os.MkdirTemp("", "crowd")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -101,6 +104,7 @@
 	path := filepath.Join(t.TempDir(), "edge.json")
 	is.NoErr(os.WriteFile(path, data, 0o600))
 	r.cmd = exec.CommandContext(context.Background(), binary, "edge", path)
+	r.cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
 	var out bytes.Buffer
 	r.cmd.Stderr = &out
 	is.NoErr(r.cmd.Start())
--- a/front/connection.go
+++ b/front/connection.go
@@ -231,7 +231,10 @@
 			x.response.Header.Set("Connection", "keep-alive")
 		}
 		x.response.SkipBody = x.request.Header.IsHead()
-		if c.write(x.response) != nil {
+		if err := c.write(x.response); err != nil {
+			if isTimeout(err) && !c.account.Evicted() {
+				c.server.slowCalls.Add(1)
+			}
 			return false
 		}
 	}
--- a/front/handle.go
+++ b/front/handle.go
@@ -16,6 +16,9 @@
 		// The reads failed because the budget interrupted them.
 		e = errorOf(memory.ErrEvicted)
 	}
+	if e.Code == wigeonladder.CodeSlowCaller {
+		c.server.slowCalls.Add(1)
+	}
 	c.conn.Resume()
 	id, event := "", "call_unreadable"
 	if call != nil {
--- a/front/reply.go
+++ b/front/reply.go
@@ -159,5 +159,8 @@
 func (r *reply) flush() error {
 	_, err := r.out.Write(r.buf)
 	r.buf = r.buf[:0]
+	if isTimeout(err) && !r.exchange.account.Evicted() {
+		r.server.slowCalls.Add(1)
+	}
 	return err
 }
--- a/front/server.go
+++ b/front/server.go
@@ -94,6 +94,9 @@
 	readers   sync.Pool
 	writers   sync.Pool
 	openCalls atomic.Int64
+	// slowCalls is the number of calls that were sent, or whose answers were read, too
+	// slowly.
+	slowCalls atomic.Int64
 	// drainingConns is set when a shutdown begins: each connection is closed
 	// after its answer. refusingCalls is set after the lead time of the shutdown:
 	// new calls are refused as well.
@@ -167,5 +170,10 @@
 // a limit, since the start.
 func (s *Server) ShedConns() int { return s.listener.ShedConns() }
 
+// SlowCalls returns the number of calls that were refused because they were sent too
+// slowly, or whose answers were ended because they were read too slowly, since the
+// start.
+func (s *Server) SlowCalls() int { return int(s.slowCalls.Load()) }
+
 // Memory returns what callers make the server hold.
 func (s *Server) Memory() memory.Stats { return s.budget.Stats() }
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -55,6 +55,10 @@
 	workspaces      map[string]int64
 	// holders contains the accounts that hold bytes.
 	holders map[*Account]struct{}
+	// accounts and candidates are reused by each search for a victim, which may be
+	// frequent when room is short.
+	accounts   []*Account
+	candidates []Holder
 	// released is closed and replaced when bytes are released while others wait.
 	released            chan struct{}
 	waiting             int
@@ -152,18 +156,19 @@
 // reports false if that is the account itself.
 func (b *Budget) evictFor(a *Account, n int64) bool {
 	now := time.Now()
-	accounts, holders := []*Account{a}, []Holder{{Address: a.address, Workspace: a.workspace, Bytes: a.sum + n}}
+	b.accounts = append(b.accounts[:0], a)
+	b.candidates = append(b.candidates[:0], Holder{Address: a.address, Workspace: a.workspace, Bytes: a.sum + n})
 	for x := range b.holders {
 		if x != a && !x.evicted {
-			accounts = append(accounts, x)
-			holders = append(holders, Holder{Address: x.address, Workspace: x.workspace, Bytes: x.sum, Idle: now.Sub(x.progressAt), Pinned: x.pinned})
+			b.accounts = append(b.accounts, x)
+			b.candidates = append(b.candidates, Holder{Address: x.address, Workspace: x.workspace, Bytes: x.sum, Idle: now.Sub(x.progressAt), Pinned: x.pinned})
 		}
 	}
-	i := Victim(holders)
+	i := Victim(b.candidates, Dominant(b.workspaces, b.total), Dominant(b.addresses, b.total))
 	if i <= 0 {
 		return false
 	}
-	victim := accounts[i]
+	victim := b.accounts[i]
 	victim.evicted = true
 	b.evicting += victim.sum
 	b.evictions++
--- a/memory/victim.go
+++ b/memory/victim.go
@@ -25,14 +25,12 @@
 )
 
 // Victim returns the index of the holder that gives way when room is short, or -1 if
-// all are pinned. It is the one with the largest product of bytes and idle time,
-// among those of the workspace or the address that holds more than dominantFraction.
-func Victim(holders []Holder) int {
-	workspace := dominant(holders, func(h Holder) string { return h.Workspace })
-	address := dominant(holders, func(h Holder) string { return h.Address })
+// all are pinned. It is the one with the largest product of bytes and idle time, among
+// those of the dominant workspace or else of the dominant address, if there are any.
+func Victim(holders []Holder, dominantWorkspace, dominantAddress string) int {
 	for _, isCandidate := range []func(Holder) bool{
-		func(h Holder) bool { return workspace != "" && h.Workspace == workspace },
-		func(h Holder) bool { return address != "" && h.Address == address },
+		func(h Holder) bool { return dominantWorkspace != "" && h.Workspace == dominantWorkspace },
+		func(h Holder) bool { return dominantAddress != "" && h.Address == dominantAddress },
 		func(Holder) bool { return true },
 	} {
 		if i := largest(holders, isCandidate); i >= 0 {
@@ -42,14 +40,9 @@
 	return -1
 }
 
-// dominant returns the group that holds more than dominantFraction of all bytes, or an
+// Dominant returns the group that holds more than dominantFraction of total, or an
 // empty string if there is none.
-func dominant(holders []Holder, group func(Holder) string) string {
-	total, groups := int64(0), map[string]int64{}
-	for _, h := range holders {
-		total += h.Bytes
-		groups[group(h)] += h.Bytes
-	}
+func Dominant(groups map[string]int64, total int64) string {
 	for name, bytes := range groups {
 		if float64(bytes) > dominantFraction*float64(total) {
 			return name
--- a/memory/victim_test.go
+++ b/memory/victim_test.go
@@ -31,6 +31,19 @@
 			[]Holder{{Workspace: "a", Bytes: mb(9), Pinned: true}, {Workspace: "b", Bytes: mb(1)}}, 1,
 		},
 	} {
-		t.Run(name, func(t *testing.T) { is.New(t).Equal(Victim(x.holders), x.want) })
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(victimOf(x.holders), x.want)
+		})
 	}
 }
+
+// victimOf returns the victim among holders, whose bytes are all that is held.
+func victimOf(holders []Holder) int {
+	total, workspaces, addresses := int64(0), map[string]int64{}, map[string]int64{}
+	for _, h := range holders {
+		total += h.Bytes
+		workspaces[h.Workspace] += h.Bytes
+		addresses[h.Address] += h.Bytes
+	}
+	return Victim(holders, Dominant(workspaces, total), Dominant(addresses, total))
+}
