front: refusals of unread bodies name their call

A request whose head was read is refused with its id, and noted under it, also when its body is too large, too slow or finds no room. A new connection may stay silent for the time of a header, not of a whole request.

--- a/front/connection.go
+++ b/front/connection.go
@@ -49,7 +49,7 @@
 	defer func() { _ = n.Close() }()
 	defer c.account.EndRequest()
 	defer c.releaseReader()
-	timeout := s.o.Limits.ReadTimeout
+	timeout := s.o.Limits.headerTimeout()
 	for c.awaitRequest(timeout) && c.serveRequest() {
 		timeout = s.o.Limits.IdleTimeout
 	}
@@ -133,16 +133,18 @@
 }
 
 // readCall reads the head and the body of a request. The error is io.EOF if the
-// connection ended before a request. A *wigeonladder.Error with a call that is not nil
-// leaves the request as it is, and its body may be unread.
+// connection ended before a request. With any other error the call is nil if the head
+// could not be read; the body may be unread.
 func (c *connection) readCall(x *exchange) (*wigeonladder.Call, error) {
 	limits := c.server.o.Limits
 	if err := c.acquireReader(); err != nil {
 		return nil, err
 	}
 	start := time.Now()
-	if err := c.setReadDeadline(start, limits.HeaderTimeout, limits.ReadTimeout); err != nil {
-		return nil, err
+	if t := limits.headerTimeout(); t > 0 {
+		if err := c.conn.SetReadDeadline(start.Add(t)); err != nil {
+			return nil, err
+		}
 	}
 	if err := x.request.Header.Read(c.reader); err != nil {
 		return nil, err
@@ -172,7 +174,8 @@
 	}
 	var err error
 	if call.Body, err = body.read(); err != nil {
-		return nil, err
+		x.response.SetConnectionClose()
+		return call, err
 	}
 	call.Received = time.Now()
 	return call, nil
@@ -192,17 +195,6 @@
 	return nil
 }
 
-// setReadDeadline sets the deadline of reads to the first of two timeouts after start
-// that is not 0.
-func (c *connection) setReadDeadline(start time.Time, timeouts ...time.Duration) error {
-	for _, t := range timeouts {
-		if t > 0 {
-			return c.conn.SetReadDeadline(start.Add(t))
-		}
-	}
-	return nil
-}
-
 // checkTarget returns an error for a request whose host or path cannot be parsed.
 func checkTarget(h *fasthttp.RequestHeader) error {
 	if bytes.IndexByte(h.Host(), '@') >= 0 {
--- a/front/handle.go
+++ b/front/handle.go
@@ -9,7 +9,8 @@
 )
 
 // refuseUnread answers a request that could not be read, or whose head was enough to
-// refuse it. The call is nil in the first case, and the connection is closed then.
+// refuse it. The call is nil, and the connection is closed, if the head could not be
+// read.
 func (c *connection) refuseUnread(x *exchange, call *wigeonladder.Call, err error) {
 	e := errorOf(err)
 	if c.account.Evicted() {
--- a/front/server.go
+++ b/front/server.go
@@ -45,6 +45,14 @@
 	MaxUnreadConns int
 }
 
+// headerTimeout returns the bound of the time in which the header of a call is read.
+func (l Limits) headerTimeout() time.Duration {
+	if l.HeaderTimeout > 0 {
+		return l.HeaderTimeout
+	}
+	return l.ReadTimeout
+}
+
 // MaxConnsFactor is the ratio of the number of connections above which new ones
 // are closed to the number above which idle ones are.
 const MaxConnsFactor = 2
