conn: late processor time does not count as a slow caller

The time of a write includes the wait for the processor. A daemon with a small part of a core could have cut long streams of small events to callers that read in time: 500 events of 100 bytes, each 30 ms late. Half a second of each write no longer counts; the case "late" of TestSlowReaderIsCutOff holds it.

--- a/conn/conn.go
+++ b/conn/conn.go
@@ -53,7 +53,7 @@
 	// interrupted is true once Interrupt was called, until Resume.
 	interrupted atomic.Bool
 	// sentBytes and sendTime are the bytes of the current answer and the time that
-	// their writes took. onProgress is called after each part of a long write.
+	// their writes took beyond freeWriteTime each. onProgress is called after each part of a long write.
 	sentBytes  int
 	sendTime   time.Duration
 	onProgress func()
--- a/conn/refuse_test.go
+++ b/conn/refuse_test.go
@@ -110,6 +110,7 @@
 	}{
 		"slow": {900 * time.Millisecond, false},
 		"fast": {100 * time.Millisecond, true},
+		"late": {freeWriteTime, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/conn/write.go
+++ b/conn/write.go
@@ -45,6 +45,10 @@
 	// minSendRate is the number of bytes a second that a caller has to read of an
 	// answer on average, not counting one write timeout.
 	minSendRate = 8 << 10
+	// freeWriteTime is the part of each write that does not count for minSendRate. A
+	// process that is short of processor time may return late from a write that did
+	// not wait for the caller.
+	freeWriteTime = 500 * time.Millisecond
 )
 
 // write writes also after SkipResponse. The peer must read each maxWriteBytes within
@@ -67,7 +71,7 @@
 		n, err := c.Conn.Write(b[written:min(written+maxWriteBytes, len(b))])
 		written += n
 		c.sentBytes += n
-		c.sendTime += time.Since(start)
+		c.sendTime += max(time.Since(start)-freeWriteTime, 0)
 		if err != nil || written == len(b) {
 			return written, err
 		}
