--- a/front/server.go
+++ b/front/server.go
@@ -45,6 +45,14 @@
 	MaxUnreadConns int
 }
 
+// headerTimeout returns the bound of the time in which the header of a call is read.
+func (l Limits) headerTimeout() time.Duration {
+	if l.HeaderTimeout > 0 {
+		return l.HeaderTimeout
+	}
+	return l.ReadTimeout
+}
+
 // MaxConnsFactor is the ratio of the number of connections above which new ones
 // are closed to the number above which idle ones are.
 const MaxConnsFactor = 2
@@ -94,6 +102,9 @@
 	readers   sync.Pool
 	writers   sync.Pool
 	openCalls atomic.Int64
+	// slowCalls is the number of calls that were sent, or whose answers were read, too
+	// slowly.
+	slowCalls atomic.Int64
 	// drainingConns is set when a shutdown begins: each connection is closed
 	// after its answer. refusingCalls is set after the lead time of the shutdown:
 	// new calls are refused as well.
@@ -167,5 +178,10 @@
 // a limit, since the start.
 func (s *Server) ShedConns() int { return s.listener.ShedConns() }
 
+// SlowCalls returns the number of calls that were refused because they were sent too
+// slowly, or whose answers were ended because they were read too slowly, since the
+// start.
+func (s *Server) SlowCalls() int { return int(s.slowCalls.Load()) }
+
 // Memory returns what callers make the server hold.
 func (s *Server) Memory() memory.Stats { return s.budget.Stats() }
