place: a zone that is cut off does not look like servers that start again

Servers that could not be reached count as cold for three seconds after they answer again. After a cut of a zone that limited all of its servers. Nothing is supposed now while no daemon of the server's zone is heard.

Without the check the new part of TestColdTimeOfAServer fails with 2.93 s left where none are expected.

--- a/place/cold.go
+++ b/place/cold.go
@@ -103,7 +103,7 @@
 	n.extendCold(now.Add(min(d, maxColdTime)))
 	if s := p.servers[i.ID]; s != nil && s.instance.SameStart(i) {
 		// The server tells more exactly what was supposed of its restart.
-		s.restartUntil, s.restarted = time.Time{}, false
+		s.clearRestart()
 	}
 	p.applyLimit(i, n, now)
 	return isNew && p.serviceState(i.Service).cold.applies()
@@ -129,11 +129,11 @@
 
 // recordUnreachable blocks a server that cannot be reached. It may start again, and the
 // store tells that late: until it has answered for as long as a server is cold, only
-// the daemons with a part call it. If most servers of the service cannot be reached,
-// the link of this daemon is the cause.
+// the daemons with a part call it. If most servers of the service cannot be reached, or
+// the daemons of its zone are not heard either, a link is the cause.
 func (p *Pool) recordUnreachable(g *serviceState, s *server, now time.Time) {
 	s.blockUnreachable(now)
-	if !g.cold.applies() || 2*g.unreachable() > len(g.order) {
+	if !g.cold.applies() || 2*g.unreachable() > len(g.order) || p.daemons().isCutOff(s.instance.Zone) {
 		return
 	}
 	s.restarted = true
@@ -141,6 +141,9 @@
 	p.watchLimit(s, now)
 }
 
+// clearRestart ends the supposition that the server starts again.
+func (s *server) clearRestart() { s.restarted, s.restartUntil = false, time.Time{} }
+
 // unreachable returns the number of servers that could not be reached when they were
 // last called.
 func (g *serviceState) unreachable() int {
--- a/place/cold_test.go
+++ b/place/cold_test.go
@@ -216,6 +216,33 @@
 			is.Equal(left(r), time.Second)
 		})
 	})
+	t.Run("its zone is cut off", func(t *testing.T) {
+		restricted(t, func(is *is.I, r *rig) {
+			zone := []Member{{"d1", "zone-b"}}
+			live := zone
+			r.options.KnownMembers = func() []Member { return zone }
+			r.options.Members = func() []Member { return live }
+			r.Remove("m0")
+			r.Put(r.otherZone(0))
+			call := func() *Lease {
+				j := r.job("a", "p")
+				j.ExcludedServers["m1"] = true
+				return r.acquire(t, j)
+			}
+			call().End(Unreachable)
+			is.True(left(r) > 0)
+			live = nil // later than the calls fail
+			time.Sleep(memberPeriod + sweepPeriod)
+			is.Equal(left(r), time.Duration(0))
+			call().End(Unreachable)
+			is.Equal(left(r), time.Duration(0))
+			time.Sleep(time.Second)
+			l := call()
+			l.RecordFirstToken()
+			l.End(Completed)
+			is.Equal(left(r), time.Duration(0))
+		})
+	})
 	t.Run("no rate configured", func(t *testing.T) {
 		bubble(t, 2, func(t *testing.T, r *rig) {
 			is := is.New(t)
--- a/place/division.go
+++ b/place/division.go
@@ -82,6 +82,13 @@
 	live, known []hashedMember
 }
 
+// isCutOff reports whether this daemon hears no daemon of a zone, although there are
+// some.
+func (d daemons) isCutOff(zone string) bool {
+	inZone := func(m hashedMember) bool { return m.Zone == zone }
+	return slices.ContainsFunc(d.known, inZone) && !slices.ContainsFunc(d.live, inZone)
+}
+
 // daemons returns the daemons that share the limits.
 func (p *Pool) daemons() daemons {
 	d := daemons{live: p.hashMembers(p.options.Members)}
@@ -150,6 +157,9 @@
 		if n := s.notice; n != nil && n.limit.named && now.Sub(n.limit.namedAt) > p.limitLifetime {
 			n.limit.named = false
 		}
+		if s.restarted && d.isCutOff(s.instance.Zone) {
+			s.clearRestart()
+		}
 		if !s.restricted(now) || p.servers[s.instance.ID] != s {
 			s.part = limitPart{}
 			return true
