--- a/place/cold.go
+++ b/place/cold.go
@@ -51,7 +51,8 @@
 
 // divideCold divides the requests a second that a cold server takes so that the bound
 // holds in any second. In a second and the spread of arrivals, a part allows its rate
-// and what it has accumulated. The most parts are used that allow the most, so that many daemons have one.
+// and what it has accumulated. Of the numbers of parts that allow the most requests, the
+// largest is used, so that many daemons have one.
 func divideCold(perSecond float64, b ColdBound) division {
 	most := perSecond*b.Overage + b.Slack
 	best, sum := division{1, limitMin}, limitMin
