--- a/backend/codec.go
+++ b/backend/codec.go
@@ -32,6 +32,10 @@
 	// OnHead is called with every head that can be that of a single answer, also of
 	// one to another call; nil for none.
 	OnHead func(AnswerHead)
+	// ReserveAnswer is called before n more bytes of a whole answer are read into
+	// memory, and with a negative n when they are given up; nil for no bound. An error
+	// ends the answer.
+	ReserveAnswer func(n int) error
 }
 
 // AnswerHead is the information in the status line and headers of an answer.
@@ -57,6 +61,10 @@
 	// together; HasLimit is false if it states none.
 	Limit    float64
 	HasLimit bool
+	// Load is the load that the server states of itself; HasLoad is false if it states
+	// none.
+	Load    wigeonladder.ServerLoad
+	HasLoad bool
 	// KeepAliveTimeout is the time for which the server keeps an idle connection, as
 	// it states; 0 if it states none.
 	KeepAliveTimeout time.Duration
--- a/backend/relay.go
+++ b/backend/relay.go
@@ -97,6 +97,7 @@
 	// another call. More such answers may follow on the connection.
 	unmatched    bool
 	maxIdleConns int
+	reserve      func(n int) error
 }
 
 // Send sends a call and reads the head of its answer. The code of the error
@@ -112,7 +113,7 @@
 		return nil, err
 	}
 	firstOnConn := !c.used
-	p := &Response{relay: r, exchange: newExchange(ctx, c), ctx: ctx, place: serverID, maxIdleConns: relayMaxIdleConns}
+	p := &Response{relay: r, exchange: newExchange(ctx, c), ctx: ctx, place: serverID, maxIdleConns: relayMaxIdleConns, reserve: a.ReserveAnswer}
 	if a.MaxIdleConns > 0 {
 		p.maxIdleConns = min(a.MaxIdleConns, relayMaxIdleConns)
 	}
@@ -297,13 +298,7 @@
 // ReadBody reads the whole body. A body that ends too early or exceeds the size
 // limit is an error; it is CodeCrossed if the server may still run the call.
 func (p *Response) ReadBody() ([]byte, *wigeonladder.Error) {
-	var b []byte
-	var err error
-	if p.isUnframed() {
-		b, err = p.exchange.readToEnd(maxRelayAnswerBytes)
-	} else {
-		b, err = p.exchange.readBody(maxRelayAnswerBytes)
-	}
+	b, err := p.exchange.readReserved(maxRelayAnswerBytes, p.isUnframed(), p.reserve)
 	if err != nil {
 		return nil, p.readError(err, p.exchange.runEnded())
 	}
--- a/edge/operator.go
+++ b/edge/operator.go
@@ -21,8 +21,13 @@
 	explainPath = "/debug/explain"
 )
 
-// operatorReadTimeout bounds the reading of one request of an operator.
-const operatorReadTimeout = 5 * time.Second
+const (
+	// operatorReadTimeout bounds the reading of one request of an operator.
+	operatorReadTimeout = 5 * time.Second
+	// maxOperatorConns bounds the open connections of operators, so that they leave
+	// descriptors for callers and backend servers.
+	maxOperatorConns = 32
+)
 
 // Dump is the state of a daemon, as operators can request it.
 type Dump struct {
@@ -34,11 +39,13 @@
 	ConfigVersion int64  `json:"version"`
 	ConfigAge     string `json:"configurationAge"`
 	// StoreRelayed is true while another daemon reads the store for this one.
-	StoreRelayed bool               `json:"relayed"`
-	LiveDaemons  int                `json:"daemons"`
-	Peers        []string           `json:"peers"`
-	Servers      []place.ServerDump `json:"servers"`
-	Shares       fair.WindowDump    `json:"shares"`
+	StoreRelayed bool     `json:"relayed"`
+	LiveDaemons  int      `json:"daemons"`
+	Peers        []string `json:"peers"`
+	// EvacuatedZones are the zones whose servers get no calls.
+	EvacuatedZones []string           `json:"evacuated,omitempty"`
+	Servers        []place.ServerDump `json:"servers"`
+	Shares         fair.WindowDump    `json:"shares"`
 }
 
 // Dump returns the state of the daemon.
@@ -47,7 +54,7 @@
 	s := Dump{
 		Name: d.settings.Name, Zone: d.settings.Zone, Ready: d.Ready(), Leaving: d.leaving.Load(),
 		OpenCalls: d.front.OpenCalls(), ConfigAge: age.String(), StoreRelayed: d.storeRelayed.Load(), LiveDaemons: d.liveDaemons(), Peers: d.mesh.Load().PeerAddresses(), Servers: d.pool.Dump(),
-		Shares: d.window.Dump(),
+		Shares: d.window.Dump(), EvacuatedZones: d.pool.EvacuatedZones(),
 	}
 	if t := d.tableStore.Table(); t != nil {
 		s.ConfigVersion = t.Version()
@@ -67,11 +74,14 @@
 	}
 	vars := new(expvar.Map).Init()
 	vars.Set("services", d.meter)
+	vars.Set("firstTokens", expvar.Func(func() any { return d.pool.FirstTokens() }))
 	vars.Set("events", d.journal.EventCounts())
 	vars.Set("open", expvar.Func(func() any { return d.front.OpenCalls() }))
+	vars.Set("memory", expvar.Func(func() any { return d.front.Memory() }))
 	vars.Set("daemons", expvar.Func(func() any { return d.liveDaemons() }))
 	vars.Set("reportsSent", expvar.Func(func() any { n, _ := d.mesh.Load().SentTotals(); return n }))
 	vars.Set("reportBytesSent", expvar.Func(func() any { _, n := d.mesh.Load().SentTotals(); return n }))
+	vars.Set("evacuatedZones", expvar.Func(func() any { return d.pool.EvacuatedZones() }))
 	vars.Set("ready", expvar.Func(func() any { return d.Ready() }))
 	s := &fasthttp.Server{
 		NoDefaultServerHeader: true,
@@ -91,7 +101,7 @@
 		},
 	}
 	go func() {
-		if err := s.Serve(l); err != nil && ctx.Err() == nil {
+		if err := s.Serve(conn.NewListener(l, conn.Limits{MaxOpen: maxOperatorConns})); err != nil && ctx.Err() == nil {
 			d.journal.Note("", "operator_server_ended", "error", err)
 		}
 	}()
--- a/exchange/mesh.go
+++ b/exchange/mesh.go
@@ -66,8 +66,11 @@
 	Learn func(r Report)
 	// Feed offers what this daemon reads from the store to the daemons of its zone;
 	// nil for none.
-	Feed    *inventory.Feed
-	Journal wigeonladder.Journal
+	Feed *inventory.Feed
+	// StoreContact returns for how long the store has answered this daemon without a
+	// break; nil if it does not follow one.
+	StoreContact func() time.Duration
+	Journal      wigeonladder.Journal
 }
 
 // Mesh connects one daemon to all others and exchanges reports with them.
@@ -184,6 +187,8 @@
 		return reply, nil
 	case methodWatch:
 		return m.handleWatch(ctx, *q.Params)
+	case methodContact:
+		return m.handleContact()
 	case methodReport, methodRelay, methodRelayed, methodPass:
 		from, l, err := unpack(*q.Params)
 		if err != nil {
@@ -244,7 +249,7 @@
 func (m *Mesh) noteConnected(p *peer, conn *jsonrpc2.Conn, reply HelloReply) {
 	m.mu.Lock()
 	p.conn, p.feeds = conn, reply.Feeds
-	p.zone, p.name, p.passes, p.columns = reply.Self.Zone, reply.Self.Name, reply.Passes, reply.Columns
+	p.zone, p.name, p.memoryMB, p.passes, p.columns = reply.Self.Zone, reply.Self.Name, reply.Self.MemoryMB, reply.Passes, reply.Columns
 	p.connected, p.connectedAt = true, time.Now()
 	m.mu.Unlock()
 	if m.options.Learn != nil && reply.Known != nil {
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/wigeonladder/wigeonladder"
@@ -22,6 +23,8 @@
 	methodPass = "pass"
 	// methodWatch asks the daemon that reads the store for the zone for changes.
 	methodWatch = "watch"
+	// methodContact asks a daemon for how long the store has answered it.
+	methodContact = "contact"
 )
 
 // Member identifies one daemon.
@@ -31,6 +34,16 @@
 	Address string `json:"a"`
 	// Incarnation is new at every start of the daemon.
 	Incarnation string `json:"i"`
+	// MemoryMB is the memory of the daemon's machine in units of 2^20 bytes; 0 if it is
+	// not known, as of a daemon of an earlier version.
+	MemoryMB int64 `json:"m,omitempty"`
+}
+
+// compareForHub orders daemons by how well they serve as the hub of a zone, the best
+// first: large machines, whose processors are not busy with the messages of a zone, and
+// among equal ones the first by name.
+func compareForHub(a, b Member) int {
+	return cmp.Or(cmp.Compare(b.MemoryMB, a.MemoryMB), cmp.Compare(a.Name, b.Name))
 }
 
 // HelloReply is the answer to a hello.
@@ -43,8 +56,8 @@
 	// Passes is true if the daemon passes the reports of others on.
 	Passes bool `json:"p,omitempty"`
 	// Columns is true if the daemon reads reports in columns of this version. Earlier
-	// ones had the key c.
-	Columns bool `json:"d,omitempty"`
+	// ones had the keys c and d.
+	Columns bool `json:"e,omitempty"`
 	// Feeds is true if the daemon offers to others what it reads from the store.
 	Feeds bool `json:"f,omitempty"`
 	// Known contains the suspicions and limits that a daemon needs before it takes
--- a/fair/ring.go
+++ b/fair/ring.go
@@ -42,3 +42,35 @@
 	}
 	return s
 }
+
+// last returns the sum over the n steps before the current one; n is less than
+// windowSteps.
+func (g *ring) last(step int64, n int) float64 {
+	g.advance(step)
+	s := 0.0
+	for i := int64(1); i <= int64(n); i++ {
+		s += g.parts[(g.step-i+windowSteps)%windowSteps]
+	}
+	return s
+}
+
+// recentMax is the maximum of the values of the last one to two windows.
+type recentMax struct {
+	window            int64
+	current, previous float64
+}
+
+// add adds v in a step.
+func (m *recentMax) add(step int64, v float64) {
+	if window := step / windowSteps; window != m.window {
+		m.previous = 0
+		if window == m.window+1 {
+			m.previous = m.current
+		}
+		m.window, m.current = window, 0
+	}
+	m.current = max(m.current, v)
+}
+
+// value returns the maximum.
+func (m *recentMax) value() float64 { return max(m.current, m.previous) }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/admission"
 	"github.com/wigeonladder/wigeonladder/backend"
 	"github.com/wigeonladder/wigeonladder/place"
 	"github.com/wigeonladder/wigeonladder/retry"
@@ -50,6 +51,8 @@
 	// StopsAt returns the time at which the daemon ends the calls that still run; zero
 	// while it is not stopping. Nil means that it never stops.
 	StopsAt func() time.Time
+	// Gate decides which calls this daemon can serve in time; nil admits all.
+	Gate Gate
 	// Daemons returns the number of daemons that share the connections of a
 	// backend server; nil for one.
 	Daemons func() int
@@ -63,6 +66,16 @@
 	ObserveCall(service string, code wigeonladder.Code, first, whole time.Duration)
 }
 
+// Gate refuses the calls that this daemon cannot serve in time, whatever the servers can
+// do. It must be safe for concurrent use.
+type Gate interface {
+	// Refusal returns the error for a call that is refused, or nil. It counts the call.
+	Refusal(h admission.Head) *wigeonladder.Error
+	// HopelessRefusal returns the error for a call that would certainly be refused, or
+	// nil. It does not count the call.
+	HopelessRefusal(h admission.Head) *wigeonladder.Error
+}
+
 // Forwarder runs calls on backend servers and relays their answers.
 type Forwarder struct{ options Options }
 
@@ -154,6 +167,11 @@
 	if err := r.checkStop(); err != nil {
 		return err
 	}
+	if g := r.forwarder.options.Gate; g != nil {
+		if err := g.Refusal(headOf(r.call, m, len(r.call.Body))); err != nil {
+			return err
+		}
+	}
 	r.job = &place.Job{
 		ID: r.call.ID, Service: m.Service.Name, Workspace: m.Workspace, Prompt: r.call.Prompt,
 		ArrivedAt: r.call.Received, TargetLatency: m.Route.TargetLatency, Deadline: r.deadline, ExcludedServers: map[string]bool{},
@@ -231,9 +249,10 @@
 	resp, err := r.forwarder.options.Sender.Send(ctx, backend.CallAttempt{
 		Call: r.call, Instance: lease.Instance, Workspace: r.match.Workspace,
 		TimeLeft: time.Until(r.deadline), LastEventID: r.lastEventID, AtMostOnce: !r.match.Route.Repeatable(), Exclusive: r.match.Route.Resumable,
-		MaxIdleConns: r.maxIdleConns(),
-		BeforeSend:   func() error { return r.checkBeforeSend(ctx, lease.Instance) },
-		OnHead:       func(h backend.AnswerHead) { r.recordNotice(lease.Instance, h) },
+		MaxIdleConns:  r.maxIdleConns(),
+		BeforeSend:    func() error { return r.checkBeforeSend(ctx, lease.Instance) },
+		OnHead:        func(h backend.AnswerHead) { r.recordNotice(lease.Instance, h) },
+		ReserveAnswer: r.reserveAnswer,
 	})
 	if err != nil {
 		result = resultOf(ctx, err)
@@ -249,11 +268,22 @@
 	return nil
 }
 
+// reserveAnswer reserves memory for an answer, if the reply bounds it.
+func (r *callRun) reserveAnswer(n int) error {
+	if a, ok := r.reply.(wigeonladder.AnswerReserver); ok {
+		return a.ReserveAnswer(n)
+	}
+	return nil
+}
+
 // recordNotice records the limit, the departure and the pause that the head of an
 // answer states. A pause counts only in a refusal.
 func (r *callRun) recordNotice(i wigeonladder.Instance, h backend.AnswerHead) {
 	pool := r.forwarder.options.Pool
 	r.recordLimit(i, h)
+	if h.HasLoad {
+		pool.RecordLoad(i, h.Load, r.sentAt)
+	}
 	if h.Leaving && pool.RecordLeaving(i) {
 		r.note("server_leaving", "server", i.ID, "status", h.Status)
 	}
--- a/inventory/follower.go
+++ b/inventory/follower.go
@@ -62,18 +62,21 @@
 	// the time on the clock Now at which the call began; nil for none.
 	OnConfirmed func(at time.Duration)
 	Now         func() time.Duration
-	// OnStoreRegained is called when the store answers again after it was lost,
-	// before the answer is applied; nil for none.
-	OnStoreRegained func(Outage)
+	// Contact records the answers of the store; nil for none.
+	Contact *Contact
+	// OnStoreRegained is called with the time without an answer when the store answers
+	// again after it was lost, before the answer is applied; nil for none.
+	OnStoreRegained func(silence time.Duration)
 	Journal         wigeonladder.Journal
 }
 
 // Follower follows the items below one key prefix.
 type Follower struct {
-	options      Options
-	lastAnswer   time.Time
-	lost         bool
-	progress     progress
+	options    Options
+	lastAnswer time.Time
+	lost       bool
+	// failed is true after a call that failed, until one succeeds.
+	failed       bool
 	retryBackoff *backoff.ExponentialBackOff
 	// relayed is true if another daemon answered the last watch, relayFailedAt when
 	// last none did.
@@ -121,7 +124,7 @@
 		}
 		after = p.Items[len(p.Items)-1].Key
 	}
-	f.noteAnswer(Page{Revision: revision}, true)
+	f.noteAnswer()
 	f.options.Reset(items)
 	if f.options.Feed != nil {
 		f.options.Feed.close()
@@ -144,7 +147,7 @@
 			f.noteFailure(ctx, err, calledAt)
 			continue
 		}
-		f.noteAnswer(p, false)
+		f.noteAnswer()
 		f.noteSource(p.Relayed)
 		var changes []Item
 		if len(p.Items) > 0 {
@@ -171,13 +174,13 @@
 			return p, began, nil
 		}
 		if !errors.Is(err, ErrNoReader) {
-			f.relayFailedAt = time.Now()
+			f.relayFailedAt, f.failed = time.Now(), true
 		}
 	}
 	sleep(ctx, time.Until(f.nextReadAt))
 	timeout := f.options.WatchTimeout
-	if f.options.Feed != nil && f.options.Feed.isUsed() {
-		timeout = min(timeout, feedWatchTimeout)
+	if f.failed || f.options.Feed != nil && f.options.Feed.isUsed() {
+		timeout = min(timeout, shortWatchTimeout)
 	}
 	began := f.options.Now()
 	callCtx, cancel := context.WithTimeout(ctx, timeout+callTimeout)
@@ -218,20 +221,20 @@
 	}
 }
 
-// noteAnswer records that the store answered with a page of changes, or with a list of
-// all items.
-func (f *Follower) noteAnswer(p Page, listed bool) {
-	now := time.Now()
+// noteAnswer records that the store answered.
+func (f *Follower) noteAnswer() {
+	if f.options.Contact != nil {
+		f.options.Contact.record()
+	}
 	if f.lost {
 		f.lost = false
-		o := f.progress.end(p, listed, now)
-		f.options.Journal.Note("", "store_regained", "after", now.Sub(f.lastAnswer), "store_away", o.StoreAway)
+		silence := time.Since(f.lastAnswer)
+		f.options.Journal.Note("", "store_regained", "after", silence)
 		if f.options.OnStoreRegained != nil {
-			f.options.OnStoreRegained(o)
+			f.options.OnStoreRegained(silence)
 		}
 	}
-	f.progress.record(p.Revision, now)
-	f.lastAnswer = now
+	f.lastAnswer, f.failed = time.Now(), false
 	f.retryBackoff.Reset()
 }
 
@@ -242,6 +245,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	f.failed = true
 	if !f.lost && time.Since(f.lastAnswer) > storeLostAfter {
 		f.lost = true
 		f.options.Journal.Note("", "store_lost", "age", time.Since(f.lastAnswer), "error", err)
--- a/inventory/follower_test.go
+++ b/inventory/follower_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -267,6 +269,7 @@
 type fakePool struct {
 	mu      sync.Mutex
 	servers map[string]wigeonladder.Instance
+	cold    []string
 }
 
 // Put implements ServerPool.
@@ -283,6 +286,14 @@
 	delete(x.servers, id)
 }
 
+// MarkCold implements ServerPool.
+func (x *fakePool) MarkCold(i wigeonladder.Instance, d time.Duration) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.cold = append(x.cold, fmt.Sprint(i.ID, " ", d))
+	return true
+}
+
 // has reports whether the pool has a server.
 func (x *fakePool) has(id string) bool {
 	x.mu.Lock()
@@ -310,7 +321,7 @@
 		is := is.New(t)
 		r, x := newTestServerList()
 		r.Reset([]Item{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("1")}})
-		r.StoreRegained(Outage{StoreAway: true})
+		r.StoreRegained(t.Context(), 5*time.Second, func(context.Context) time.Duration { return 0 })
 		r.Reset(nil)
 		is.True(x.has("a") && x.has("b"))
 		time.Sleep(time.Second)
@@ -337,3 +348,44 @@
 		is.True(!x.has("a"))
 	})
 }
+
+// lossyStore loses one watch: it gets no answer.
+type lossyStore struct {
+	*fakeStore
+	lose atomic.Bool
+}
+
+// Watch implements Store.
+func (s *lossyStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Page, error) {
+	if s.lose.CompareAndSwap(true, false) {
+		<-ctx.Done()
+		return Page{}, ctx.Err()
+	}
+	return s.fakeStore.Watch(ctx, prefix, after, wait)
+}
+
+// Guards against a change that comes too late because the daemon that reads the store
+// for this one stops answering and the first call of the store itself is lost too.
+func TestChangeArrivesAfterTwoLostCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			maxApply = 3 * time.Second
+			pause    = maxApply * 4 / 10
+		)
+		s := &lossyStore{fakeStore: newFakeStore()}
+		s.put("config", "1")
+		relayed := 0
+		seen := follow(t.Context(), s, Options{WatchTimeout: 700 * time.Millisecond, WatchPause: pause, Relay: func(ctx context.Context, after int64) (Page, error) {
+			if relayed++; relayed == 1 {
+				s.lose.Store(true)
+				return Page{Revision: after, Relayed: true}, nil
+			}
+			sleep(ctx, pause+250*time.Millisecond+testRelayMargin)
+			return Page{}, errors.New("no answer")
+		}})
+		synctest.Wait()
+		s.put("config", "2")
+		time.Sleep(maxApply)
+		is.New(t).Equal(seen()["config"], "2")
+	})
+}
