soak: a pause ends with the incarnation that asked for it

Cause: checkPauses counted calls to a server that had started again under its id, with a new born, before the pause was over.

Change: calls count while the server that they reach is in its pause, as checkLeaving counts those at a server that leaves. A pause that a daemon forgets within an incarnation is found as before.

--- a/soak/notice.go
+++ b/soak/notice.go
@@ -130,6 +130,9 @@
 		}
 		n, last := 0, asked.At
 		for _, a := range arrivals[i+1:] {
+			if a.Pause == 0 {
+				break // the pause has ended, or a new incarnation knows nothing of it
+			}
 			if a.At.After(asked.At.Add(pauseGrace)) && a.At.Before(asked.At.Add(asked.Pause)) {
 				n, last = n+1, a.At
 			}
