--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -20,6 +20,11 @@
 // arrived completely. Only the reuse of the connection depends on it.
 const bodyEndTimeout = 20 * time.Millisecond
 
+// RunEndTimeout is the time after which a server that drops a call when its
+// connection closes is taken to have done so, and the time for which a server is
+// given to close a connection itself after bytes that are not an answer.
+const RunEndTimeout = 400 * time.Millisecond
+
 // maxHeadBytes bounds what is read until the header of a response ends,
 // including informational responses before it.
 const maxHeadBytes = 64 << 10
@@ -50,6 +55,8 @@
 	// bodyEnded is true once the body has been read to its end, including the
 	// end of the chunked encoding.
 	bodyEnded bool
+	// lastChunkRead is true once the last chunk of a chunked body has been read.
+	lastChunkRead bool
 	// noBody is true if the response has no body, such as the one to HEAD.
 	noBody bool
 	// detachContext keeps the context from closing the connection. It returns
@@ -100,19 +107,24 @@
 }
 
 // readHeader reads the response header, skips informational responses (1xx),
-// and sets the reader of the body.
+// and sets the reader of the body. The error is CodeCrossed if the bytes are not
+// the head of a single answer.
 func (x *exchange) readHeader() error {
 	x.conn.allowRead(maxHeadBytes)
 	for {
+		if err := awaitHead(x.conn.reader); err != nil {
+			return err
+		}
 		x.header.Reset()
 		x.header.SetNoDefaultContentType(true)
 		if err := x.header.Read(x.conn.reader); err != nil {
-			return err
+			return strayBytesError("%v", err)
 		}
 		if s := x.header.StatusCode(); s >= 200 {
 			break
 		}
 	}
+	x.bodyEnded, x.lastChunkRead = false, false
 	length := x.header.ContentLength()
 	switch s := x.header.StatusCode(); {
 	case x.noBody || s == fasthttp.StatusNoContent || s == fasthttp.StatusNotModified:
@@ -130,6 +142,47 @@
 	return nil
 }
 
+// settleCrossed returns the error of a head that is not, or not certainly, that of the
+// answer. The run may go on. If the server ends the connection within RunEndTimeout,
+// the run has ended, and the error becomes CodeBroken.
+func (x *exchange) settleCrossed(err error) error {
+	var e *wigeonladder.Error
+	if !errors.As(err, &e) || e.Code != wigeonladder.CodeCrossed || !x.serverCloses() {
+		return err
+	}
+	return wigeonladder.Errorf(wigeonladder.CodeBroken, "", "%s; then the connection ended", e.Detail)
+}
+
+// AwaitDrop gives a server RunEndTimeout to drop a call whose connection was closed.
+// It returns false if the context ends first.
+func AwaitDrop(ctx context.Context) bool {
+	t := time.NewTimer(RunEndTimeout)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// runEnded reports whether the run of the call is known to have ended: its answer was
+// read to the end, or the server ended the connection.
+func (x *exchange) runEnded() bool {
+	return x.bodyEnded || x.lastChunkRead || x.conn.endedByServer
+}
+
+// serverCloses waits until the server ends the connection, at most RunEndTimeout, and
+// reports whether it did.
+func (x *exchange) serverCloses() bool {
+	if x.conn.SetReadDeadline(time.Now().Add(RunEndTimeout)) != nil {
+		return false
+	}
+	x.conn.allowRead(maxHeadBytes)
+	_, _ = io.Copy(io.Discard, x.conn)
+	return x.conn.endedByServer
+}
+
 // readBody reads the whole body. The body must have a stated length or be
 // chunked.
 func (x *exchange) readBody(maxBytes int) ([]byte, error) {
@@ -213,6 +266,7 @@
 	if !errors.Is(err, io.EOF) || c.x.bodyEnded {
 		return n, err
 	}
+	c.x.lastChunkRead = true
 	// If trailers follow instead, bodyEnded stays false and the connection is
 	// not reused.
 	var line [2]byte
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -6,7 +6,6 @@
 	"net"
 	"runtime/debug"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -29,30 +28,22 @@
 )
 
 const (
-	// storeWatchTimeout is the time for which one watch of the store waits for a change. Each
-	// answer confirms that the known API keys are still in force.
-	storeWatchTimeout = 700 * time.Millisecond
-	// watchPauseFraction is the time between two watches, during which changes
-	// accumulate, as a fraction of the time within which changes have to be in
-	// force. The entries of backend servers change at every heartbeat, so without
-	// the pause each change would cost a call of the store. The rest of the time
-	// leaves room for a slow answer and one lost call.
-	watchPauseFraction = 0.4
-	// relayWaitMargin is the time after its next read of the store within which the
-	// daemon that reads for others must answer; otherwise the store is read directly.
-	relayWaitMargin = 250 * time.Millisecond
 	// keyTrustMargin is subtracted from the time for which API keys are trusted.
 	// It covers a watch that reports a change as much as a second late.
 	keyTrustMargin = 1300 * time.Millisecond
 	// maxHeaderBytes and maxBodyBytes bound the header and the body of a call.
 	maxHeaderBytes = 20 << 10
 	maxBodyBytes   = 5 << 20
-	// callerReadTimeout bounds the reading of a call, callerIdleTimeout the time
-	// between two calls on a connection, callerWriteTimeout one write to a
-	// caller.
-	callerReadTimeout  = 20 * time.Second
-	callerIdleTimeout  = 60 * time.Second
-	callerWriteTimeout = 10 * time.Second
+	// callerHeaderTimeout bounds the reading of a call's header, callerReadTimeout that
+	// of the whole call, callerIdleTimeout the time between two calls on a connection,
+	// callerWriteTimeout one write to a caller.
+	callerHeaderTimeout = 20 * time.Second
+	callerReadTimeout   = 60 * time.Second
+	callerIdleTimeout   = 60 * time.Second
+	callerWriteTimeout  = 10 * time.Second
+	// callerProgressTime is the time within which a body must grow by 16 kB, far less
+	// than comes over the slowest links.
+	callerProgressTime = 10 * time.Second
 	// callerConnsDivisor divides the number of file descriptors; the result is
 	// the number of caller connections above which idle ones are closed. Each
 	// running call takes a further descriptor for its backend server.
@@ -67,6 +58,15 @@
 	// between two collections, in percent.
 	memoryLimitFraction = 0.5
 	gcPercent           = 300
+	// callMemoryFraction is the part of the process's memory for heads, bodies and
+	// answers, connMemoryFraction that for the connections themselves, each of which
+	// takes connBytes: its goroutines' stacks and its state. The rest is for the
+	// daemon's own state and for garbage.
+	callMemoryFraction = 0.2
+	connMemoryFraction = 0.125
+	connBytes          = 12 << 10
+	// minCallMemory is room for the largest call, whose body is copied as it grows.
+	minCallMemory = 2*maxBodyBytes + maxHeaderBytes
 )
 
 const (
@@ -88,12 +88,13 @@
 	// Store reads the platform's store.
 	Store inventory.Store
 	// ConfigKey is the store key of the configuration. ServersPrefix begins the
-	// store keys of the backend servers.
-	ConfigKey, ServersPrefix string
-	ParseConfig              func([]byte) (route.Document, error)
-	ParseServer              func(inventory.Item) (inventory.Entry, error)
-	CallerCodec              front.Codec
-	ServerCodec              backend.Codec
+	// store keys of the backend servers, EvacuationPrefix those of the availability
+	// zones to which nothing is to be sent.
+	ConfigKey, ServersPrefix, EvacuationPrefix string
+	ParseConfig                                func([]byte) (route.Document, error)
+	ParseServer                                func(inventory.Item) (inventory.Entry, error)
+	CallerCodec                                front.Codec
+	ServerCodec                                backend.Codec
 	// ReadyPath is the path on which the platform checks readiness.
 	ReadyPath string
 }
@@ -116,6 +117,7 @@
 	tableStore *route.TableStore
 	pool       *place.Pool
 	serverList *inventory.ServerList
+	zoneList   *inventory.ZoneList
 	// mesh is nil until the exchange has started. The pool starts before it and
 	// already asks for the number of daemons.
 	mesh     atomic.Pointer[exchange.Mesh]
@@ -172,20 +174,22 @@
 	d.window = fair.NewWindow(d.liveDaemons)
 	d.relay = backend.NewRelay(d.platform.ServerCodec)
 	d.pool = place.NewPool(ctx, place.Options{
-		Name: s.Name, Zone: s.Zone, Shares: d.counters, Window: d.window, LiveDaemons: d.liveDaemons, Members: d.otherMembers,
+		Name: s.Name, Zone: s.Zone, Shares: d.counters, Window: d.window, LiveDaemons: d.liveDaemons, Members: d.otherMembers, KnownMembers: d.knownMembers,
+		Cold: place.ColdBound{Overage: float64(s.Cold.Overage), Slack: float64(s.Cold.Slack)},
 	})
 	d.serverList = inventory.NewServerList(d.pool, d.platform.ParseServer, d.journal)
+	d.zoneList = inventory.NewZoneList(d.pool, d.platform.EvacuationPrefix, d.journal)
 	peers, err := conn.Listen(ctx, s.PeerAddress)
 	if err != nil {
 		return errors.Wrap(err, "peer")
 	}
-	feed := inventory.NewFeed(uptime)
+	feed, contact := inventory.NewFeed(uptime), inventory.NewContact(uptime)
 	d.mesh.Store(exchange.New(ctx, exchange.Options{
 		Self:     exchange.Member{Name: s.Name, Zone: s.Zone, Address: s.PeerAddress, Incarnation: incarnation},
 		Listener: peers, Dial: dial, Seeds: func() []string { return *d.seeds.Load() },
-		Export: d.exportReport, Import: d.importReport, Known: d.known, Learn: d.learn, Feed: feed, Journal: d.journal,
+		Export: d.exportReport, Import: d.importReport, Known: d.known, Learn: d.learn, Feed: feed, StoreContact: contact.Unbroken, Journal: d.journal,
 	}))
-	d.followStore(ctx, feed)
+	d.followStore(ctx, feed, contact)
 	if err := d.serveCallers(ctx); err != nil {
 		return err
 	}
@@ -209,6 +213,14 @@
 	return nil
 }
 
+// knownMembers returns the other daemons that may be at work.
+func (d *Daemon) knownMembers() []place.Member {
+	if m := d.mesh.Load(); m != nil {
+		return m.KnownMembers()
+	}
+	return nil
+}
+
 // knownDaemons returns the number of daemons that may draw on the budgets that
 // all daemons share. It includes known daemons that cannot be reached now,
 // because they may still be at work behind a partition.
@@ -216,67 +228,6 @@
 	return max(d.liveDaemons(), len(d.mesh.Load().PeerAddresses())+1)
 }
 
-// followStore follows the configuration and the backend servers in the store. A
-// single watch of all items takes fewer calls than one watch for each kind. While
-// another daemon of the zone reads the store, the changes come from that one.
-func (d *Daemon) followStore(ctx context.Context, feed *inventory.Feed) {
-	p := d.platform
-	// split applies the configuration if it is among the items, and returns the
-	// items of the configuration and those of backend servers.
-	split := func(items []inventory.Item) (configs, servers []inventory.Item) {
-		for _, i := range items {
-			switch {
-			case i.Key == p.ConfigKey && !i.Removed:
-				d.applyConfig(i)
-				configs = append(configs, i)
-			case strings.HasPrefix(i.Key, p.ServersPrefix):
-				servers = append(servers, i)
-			}
-		}
-		return configs, servers
-	}
-	relayWait := watchPause(d.settings) + relayWaitMargin
-	go inventory.Follow(ctx, inventory.Options{
-		Store: p.Store, WatchTimeout: storeWatchTimeout, WatchPause: watchPause(d.settings),
-		Reset: func(items []inventory.Item) {
-			_, servers := split(items)
-			d.serverList.Reset(servers)
-		},
-		Apply: func(items []inventory.Item) []inventory.Item {
-			configs, servers := split(items)
-			return append(configs, d.serverList.Apply(servers)...)
-		},
-		Relay: func(ctx context.Context, after int64) (inventory.Page, error) {
-			return d.mesh.Load().WatchStore(ctx, after, relayWait)
-		},
-		Feed:        feed,
-		OnSource:    d.storeRelayed.Store,
-		OnConfirmed: d.tableStore.Confirm, OnStoreRegained: d.serverList.StoreRegained, Now: uptime, Journal: d.journal,
-	})
-}
-
-// watchPause returns the time between two watches of the store.
-func watchPause(s setting.Edge) time.Duration {
-	return time.Duration(watchPauseFraction * float64(min(s.MaxApplyDelay, s.MaxLeaveDelay)))
-}
-
-// applyConfig puts the configuration of a store item in force, unless it cannot
-// be read or is not accepted.
-func (d *Daemon) applyConfig(i inventory.Item) {
-	doc, err := d.platform.ParseConfig(i.Value)
-	if err != nil {
-		d.journal.Note("", "config_unreadable", "revision", i.Revision, "error", err)
-		return
-	}
-	if !d.tableStore.Accept(doc) {
-		return
-	}
-	d.pool.SetServices(doc.Services)
-	d.window.SetCapacity(doc.Limits.TokensPerSecond)
-	d.journal.Note("", "config_accepted", "version", doc.Version, "revision", i.Revision,
-		"routes", len(doc.Routes), "workspaces", len(doc.Workspaces))
-}
-
 // serveCallers starts to serve callers and to answer readiness checks.
 func (d *Daemon) serveCallers(ctx context.Context) error {
 	s := d.settings
@@ -293,8 +244,8 @@
 		return errors.Wrap(err, "front")
 	}
 	d.front = front.NewServer(ctx, front.Options{
-		Listener: callers, Codec: d.platform.CallerCodec, Handler: forwarder.Serve, Journal: d.journal,
-		Limits: front.Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, ReadTimeout: callerReadTimeout, IdleTimeout: callerIdleTimeout, WriteTimeout: callerWriteTimeout, MaxConns: int(s.MaxOpenFiles) / callerConnsDivisor, MaxUnreadConns: maxUnreadConns},
+		Listener: callers, Codec: d.platform.CallerCodec, Handler: forwarder.Serve, Judge: d.judgeHead, Journal: d.journal,
+		Limits: callerLimits(s),
 	})
 	ready, err := conn.Listen(ctx, s.ReadinessAddress)
 	if err != nil {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -248,10 +248,11 @@
 	r.began = false
 	resp, err := r.forwarder.options.Sender.Send(ctx, backend.CallAttempt{
 		Call: r.call, Instance: lease.Instance, Workspace: r.match.Workspace,
-		TimeLeft: time.Until(r.deadline), LastEventID: r.lastEventID, AtMostOnce: !r.match.Route.Repeatable(),
-		MaxIdleConns: r.maxIdleConns(),
-		BeforeSend:   func() error { return r.checkBeforeSend(ctx, lease.Instance) },
-		OnHead:       func(h backend.AnswerHead) { r.recordNotice(lease.Instance, h) },
+		TimeLeft: time.Until(r.deadline), LastEventID: r.lastEventID, AtMostOnce: !r.match.Route.Repeatable(), Exclusive: r.match.Route.Resumable,
+		MaxIdleConns:  r.maxIdleConns(),
+		BeforeSend:    func() error { return r.checkBeforeSend(ctx, lease.Instance) },
+		OnHead:        func(h backend.AnswerHead) { r.recordNotice(lease.Instance, h) },
+		ReserveAnswer: r.reserveAnswer,
 	})
 	if err != nil {
 		result = resultOf(ctx, err)
@@ -267,11 +268,22 @@
 	return nil
 }
 
+// reserveAnswer reserves memory for an answer, if the reply bounds it.
+func (r *callRun) reserveAnswer(n int) error {
+	if a, ok := r.reply.(wigeonladder.AnswerReserver); ok {
+		return a.ReserveAnswer(n)
+	}
+	return nil
+}
+
 // recordNotice records the limit, the departure and the pause that the head of an
 // answer states. A pause counts only in a refusal.
 func (r *callRun) recordNotice(i wigeonladder.Instance, h backend.AnswerHead) {
 	pool := r.forwarder.options.Pool
 	r.recordLimit(i, h)
+	if h.HasLoad {
+		pool.RecordLoad(i, h.Load, r.sentAt)
+	}
 	if h.Leaving && pool.RecordLeaving(i) {
 		r.note("server_leaving", "server", i.ID, "status", h.Status)
 	}
--- a/inventory/server_list.go
+++ b/inventory/server_list.go
@@ -16,6 +16,9 @@
 type ServerPool interface {
 	Put(i wigeonladder.Instance)
 	Remove(id string)
+	// MarkCold tells that a server, which may not be known yet, stays cold for a time.
+	// It reports whether that changes the calls that the server gets.
+	MarkCold(i wigeonladder.Instance, d time.Duration) bool
 }
 
 // ServerList keeps the backend servers whose entries are in the store.
@@ -28,9 +31,8 @@
 	entries         map[string]wigeonladder.Instance
 	versions        versions
 	pendingRemovals map[string]*time.Timer
-	// outage is the last time without an answer of the store, which ended at
-	// regainedAt.
-	outage     Outage
+	// regainedAt is when the store answered again after a silence in which it may have
+	// been away; zero if there was none.
 	regainedAt time.Time
 }
 
@@ -43,13 +45,6 @@
 	}
 }
 
-// StoreRegained tells the list that the store answers again after an outage.
-func (l *ServerList) StoreRegained(o Outage) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.outage, l.regainedAt = o, time.Now()
-}
-
 // Reset replaces all entries.
 func (l *ServerList) Reset(items []Item) {
 	l.mu.Lock()
@@ -96,9 +91,16 @@
 		l.journal.Note("", "server_entry_unreadable", "key", i.Key, "revision", i.Revision, "error", err)
 		return true
 	}
+	// An entry that is read again tells nothing of the present: its cold time counts
+	// from when it was written.
+	repeated := i.Revision > 0 && i.Revision == l.versions.revision(i.Key)
 	if !l.versions.accept(i, e, time.Now()) {
 		return false
 	}
+	isCold := e.ColdTime > 0 && !repeated
+	if isCold && l.pool.MarkCold(s, e.ColdTime) {
+		l.journal.Note("", "server_cold", "server", s.ID, "service", s.Service, "zone", s.Zone, "left", e.ColdTime, "revision", i.Revision)
+	}
 	t := l.pendingRemovals[i.Key]
 	if t != nil {
 		t.Stop()
@@ -112,12 +114,12 @@
 			"address", s.Address, "leaving", s.Leaving, "born", s.StartUnixMs, "revision", i.Revision)
 		l.pool.Put(s)
 	}
-	return isNew || t != nil
+	return isNew || isCold || t != nil
 }
 
-// removeEntry removes an entry and its server. If the store was away until just now,
-// the entry may have expired because the server could not renew it; the server is then
-// kept until the store has been back for lapsedEntryGrace.
+// removeEntry removes an entry and its server. If the store may have been away until
+// just now, the entry may have expired because the server could not renew it; the
+// server is then kept until lapsedEntryGrace ends.
 func (l *ServerList) removeEntry(i Item) {
 	key := i.Key
 	if !l.versions.acceptRemoval(i, time.Now()) {
@@ -126,8 +128,8 @@
 	if _, known := l.entries[key]; !known || l.pendingRemovals[key] != nil {
 		return
 	}
-	left := lapsedEntryGrace - max(time.Since(l.regainedAt), l.outage.since(i.Revision))
-	if left <= 0 || !l.outage.StoreAway {
+	left := lapsedEntryGrace - time.Since(l.regainedAt)
+	if left <= 0 || l.regainedAt.IsZero() {
 		l.removeServer(key)
 		return
 	}
--- a/place/dump.go
+++ b/place/dump.go
@@ -25,6 +25,9 @@
 	// LatencyRatio is the ratio of observed to expected times to the first
 	// token.
 	LatencyRatio float64 `json:"pace"`
+	// WorkTime is how long work is expected to take now on the server's machine, relative
+	// to the usual time; 0 if the server does not state it.
+	WorkTime float64 `json:"workTime,omitempty"`
 	// FailureRate is the recent fraction of failed requests.
 	FailureRate float64 `json:"faults"`
 	// Blocked is true while the server gets no requests because it could not be
@@ -38,6 +41,8 @@
 	// if it named one, and LimitPart the number that this daemon may send.
 	Limit     float64 `json:"limit,omitempty"`
 	LimitPart float64 `json:"part,omitempty"`
+	// ColdTime is the time for which the server still counts as cold.
+	ColdTime time.Duration `json:"cold,omitempty"`
 	// Waiting is the number of calls that wait in this daemon for the service.
 	Waiting int `json:"waiting"`
 }
@@ -57,8 +62,14 @@
 				FailureRate: s.currentFailureRate(now), Blocked: now.Before(s.blockedUntil), Waiting: g.waiting,
 				Unavailable: s.occupancy(now).String(),
 			}
+			if s.workTime.IsKnown() {
+				r.WorkTime = s.workTime.At(now)
+			}
 			if s.part.watched {
-				r.Limit, r.LimitPart = s.notice.limit.perSecond, s.part.rate
+				r.LimitPart, r.ColdTime = s.part.rate, s.coldLeft(now)
+			}
+			if n := s.notice; s.part.watched && n != nil && n.limit.named {
+				r.Limit = n.limit.perSecond
 			}
 			r.TimeLeft, _ = s.timeLeft(now)
 			if s.cache != nil {
--- a/place/pool.go
+++ b/place/pool.go
@@ -30,6 +30,11 @@
 	LiveDaemons func() int
 	// Members returns the other daemons that take calls; nil for none.
 	Members func() []Member
+	// KnownMembers returns the other daemons that may be at work, also if they do not
+	// reach this one; nil for those of Members.
+	KnownMembers func() []Member
+	// Cold bounds the requests that a cold server gets.
+	Cold ColdBound
 }
 
 // Pool places calls on backend servers. It is safe for concurrent use.
@@ -44,11 +49,15 @@
 	used    map[*server]struct{}
 	// imported is the buffer of serverLoads.
 	imported []serverLoad
+	// stated contains the servers that stated their load since the last report.
+	stated map[*server]struct{}
 	// sentParts contains the prompt parts that were sent since the last report.
 	sentParts []SentPart
 	// leaving contains the servers that said since the last report that they leave.
 	leaving []LeavingServer
 	notices notices
+	// evacuatedZones contains the availability zones whose servers get no calls.
+	evacuatedZones map[string]bool
 	// limited contains the servers with a limit in force. The limits were last divided
 	// at dividedAt. limitReports contains the limits of the next report.
 	// limitLifetime differs between daemons.
@@ -56,6 +65,7 @@
 	dividedAt     time.Time
 	limitReports  []ServerLimit
 	limitLifetime time.Duration
+	startedAt     time.Time
 	remote        *remoteDaemons
 	// unread contains the leases whose first token has not arrived.
 	unread map[*Lease]struct{}
@@ -73,7 +83,8 @@
 type serviceState struct {
 	name    string
 	engine  *route.Engine
-	runTime runTime
+	rates   *serviceRates
+	cold    coldRule
 	servers map[string]*server
 	// order contains the servers sorted by name, so that the choice among
 	// servers of equal rank does not vary.
@@ -104,9 +115,9 @@
 		o.LiveDaemons = func() int { return 1 }
 	}
 	p := &Pool{
-		options: o, services: map[string]*serviceState{}, servers: map[string]*server{}, used: map[*server]struct{}{}, notices: notices{byIncarnation: map[incarnation]*notice{}},
+		options: o, services: map[string]*serviceState{}, servers: map[string]*server{}, used: map[*server]struct{}{}, stated: map[*server]struct{}{}, notices: notices{byIncarnation: map[incarnation]*notice{}},
 		limitLifetime: limitLifetime + rand.N(limitLifetime/2), // #nosec G404
-		remote:        newRemoteDaemons(), unread: map[*Lease]struct{}{}, sweptAt: time.Now(),
+		remote:        newRemoteDaemons(), unread: map[*Lease]struct{}{}, sweptAt: time.Now(), startedAt: time.Now(),
 	}
 	go func() {
 		t := time.NewTicker(sweepPeriod)
@@ -139,7 +150,7 @@
 func (p *Pool) serviceState(name string) *serviceState {
 	g := p.services[name]
 	if g == nil {
-		g = &serviceState{name: name, runTime: runTime{initialRunTime}, servers: map[string]*server{}, queues: map[string][]*Job{}, backlogs: map[string]*admission.Backlog{}}
+		g = &serviceState{name: name, rates: newServiceRates(), servers: map[string]*server{}, queues: map[string][]*Job{}, backlogs: map[string]*admission.Backlog{}}
 		p.services[name] = g
 	}
 	return g
@@ -160,11 +171,13 @@
 	if s := g.servers[i.ID]; s != nil && s.instance.SameStart(i) {
 		s.instance = i
 	} else {
-		s := newServer(i, g.engine, &g.runTime)
+		s := newServer(i, g.engine, g.rates)
+		s.cold = &g.cold
 		s.notice = p.notices.byIncarnation[incarnationOf(i)]
 		g.servers[i.ID] = s
 		p.watchLimit(s, time.Now())
 	}
+	g.servers[i.ID].evacuated = p.evacuatedZones[i.Zone]
 	p.servers[i.ID] = g.servers[i.ID]
 	g.sort()
 	p.drain(g)
@@ -192,11 +205,13 @@
 func (p *Pool) SetServices(services []route.Service) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
 	for _, v := range services {
 		g := p.serviceState(v.Name)
-		g.engine = v.Engine
+		g.engine, g.cold = v.Engine, newColdRule(v, p.options.Cold)
 		for _, s := range g.servers {
 			s.setEngine(v.Engine)
+			p.watchLimit(s, now)
 		}
 	}
 }
@@ -325,8 +340,8 @@
 	l.load.unreadTokens = 0
 	now := time.Now()
 	l.firstTokenAt = now
-	s.updateLatencyRatio(l.ExpectedFirstToken, now.Sub(l.sentAt))
-	s.hear(now)
+	s.learn(l, now)
+	p.recordHeard(s, now)
 	p.drain(p.serviceState(l.job.Service))
 }
 
@@ -359,9 +374,9 @@
 	switch r {
 	case Completed:
 		s.recordOutcome(false, now)
-		s.hear(now)
+		p.recordHeard(s, now)
 		if l.gotFirstToken {
-			s.runTime.record(now.Sub(l.firstTokenAt))
+			s.rates.runTime.record(now.Sub(l.firstTokenAt))
 		}
 	case Failed, Declined:
 		s.recordOutcome(true, now)
@@ -370,7 +385,7 @@
 		// A server that answered meanwhile is alive; the connection was slow to open
 		// because the link of this daemon, or the server, is congested.
 		if !p.isLate(now) && s.heardAt.Before(l.sentAt) {
-			s.blockUnreachable(now)
+			p.recordUnreachable(p.serviceState(l.job.Service), s, now)
 		}
 	case Inconclusive:
 	}
--- a/setting/edge.go
+++ b/setting/edge.go
@@ -38,12 +38,17 @@
 	// calls.
 	MaxApplyDelay Duration `json:"apply"`
 	MaxLeaveDelay Duration `json:"leave"`
+	// MaxEvacuationDelay is the longest time until the backend servers of a zone that is
+	// evacuated get no more calls; 0 means that no bound is promised.
+	MaxEvacuationDelay Duration `json:"evacuate"`
+	// Cold bounds the requests that a cold backend server gets from all daemons together.
+	Cold ColdBound `json:"cold"`
 	// RetryBudget bounds the retries of all daemons together.
 	RetryBudget RetryBudget `json:"retry"`
 }
 
-// minApplyOrLeaveDelay is the smallest value of MaxApplyDelay and MaxLeaveDelay. The
-// store is polled several times within these delays.
+// minApplyOrLeaveDelay is the smallest value of MaxApplyDelay and MaxLeaveDelay, and of
+// MaxEvacuationDelay if it is a bound. The store is polled several times within these delays.
 const minApplyOrLeaveDelay = 500 * time.Millisecond
 
 // minMemoryMB and minOpenFiles are the smallest values of MemoryMB and
@@ -53,6 +58,13 @@
 	minOpenFiles = 256
 )
 
+// ColdBound bounds the requests that a cold backend server gets in any second: Overage
+// times the rate that the configuration names, plus Slack.
+type ColdBound struct {
+	Overage Decimal `json:"overage"`
+	Slack   Decimal `json:"slack"`
+}
+
 // RetryBudget bounds the retries that all daemons together may make of calls to
 // one service: in each Period, Ratio times the number of calls plus Slack.
 type RetryBudget struct {
@@ -71,6 +83,7 @@
 		ShutdownGracePeriod: Duration(8 * time.Second),
 		MaxApplyDelay:       Duration(2 * time.Second),
 		MaxLeaveDelay:       Duration(2 * time.Second),
+		Cold:                ColdBound{Overage: 1},
 		RetryBudget:         RetryBudget{Ratio: 0.1, Slack: 10, Period: Duration(10 * time.Second)},
 	}
 }
@@ -96,6 +109,9 @@
 				c.addUnlessRejected(x.key, "must be at least %s", minApplyOrLeaveDelay)
 			}
 		}
+		if s.MaxEvacuationDelay != 0 && time.Duration(s.MaxEvacuationDelay) < minApplyOrLeaveDelay {
+			c.addUnlessRejected("evacuate", "must be 0s or at least %s", minApplyOrLeaveDelay)
+		}
 		if s.MemoryMB < minMemoryMB {
 			c.addUnlessRejected("memory", "must be at least %d", minMemoryMB)
 		}
