--- a/edge/limits.go
+++ b/edge/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/forward"
 	"github.com/wigeonladder/wigeonladder/front"
 	"github.com/wigeonladder/wigeonladder/setting"
 )
@@ -20,13 +21,17 @@
 	}
 }
 
-// judgeHead refuses a call that has no route, or whose key belongs to no workspace,
-// before its body is read. It leaves every other decision to the forwarder.
-func (d *Daemon) judgeHead(c *wigeonladder.Call, _ int) (workspace string, err *wigeonladder.Error) {
+// judgeHead refuses a call that has no route, whose key belongs to no workspace, or that
+// this daemon can by no means serve in time, before its body is read. It leaves every other
+// decision to the forwarder.
+func (d *Daemon) judgeHead(c *wigeonladder.Call, bodyBytes int) (workspace string, err *wigeonladder.Error) {
 	t := d.tableStore.Table()
 	if t == nil || !d.tableStore.KeysTrusted() {
 		return "", nil
 	}
 	m, err := t.Match(c)
+	if err == nil {
+		err = d.gate.HopelessRefusal(forward.HeadOf(c, m, bodyBytes))
+	}
 	return m.Workspace, err
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -168,7 +168,7 @@
 		return err
 	}
 	if g := r.forwarder.options.Gate; g != nil {
-		if err := g.Refusal(headOf(r.call, m, len(r.call.Body))); err != nil {
+		if err := g.Refusal(HeadOf(r.call, m, len(r.call.Body))); err != nil {
 			return err
 		}
 	}
--- a/place/admit.go
+++ b/place/admit.go
@@ -13,9 +13,6 @@
 	// here even if its answer will probably be late: servers must not idle for want of
 	// calls, and a late answer is better than none.
 	minWaitFraction = 0.25
-	// minRateFraction is the fraction of its equal part of the servers that a daemon
-	// expects to get whatever it has placed of late.
-	minRateFraction = 0.5
 	// retryTimeFraction is the fraction of the time left up to which callers follow a
 	// retry delay.
 	retryTimeFraction = 1.0 / 3
@@ -64,7 +61,7 @@
 	}
 	if best != nil && best.firstToken > best.wait {
 		servers := g.recentSummary(now).unavailable[Available]
-		s.MinRate = minRateFraction * float64(j.Prompt.Cost()) / (best.firstToken - best.wait).Seconds() *
+		s.MinRate = float64(j.Prompt.Cost()) / (best.firstToken - best.wait).Seconds() *
 			float64(servers) / float64(p.options.LiveDaemons())
 	}
 	return s
