admission: refuse for want of processor time only where calls would be late

Seen in the tests of package edge beside a load average of 55 on seven cores: calls with a target latency of 1 s were refused (207, timers 0.2 s late) that could be served in time.

Cause: a call counts as waiting three times as long as a timer; not every pass does.

Change: refusals begin where that takes the whole target latency, and include all calls at twice that (half and the whole before).

--- a/admission/daemon.go
+++ b/admission/daemon.go
@@ -12,9 +12,10 @@
 	passesPerCall = 3
 	// minDelayFraction and maxDelayFraction are the fractions of the target latency, spent
 	// on waiting for the processor of this daemon, from which some and all calls are
-	// refused. From the latter on, no call can be in time.
-	minDelayFraction = 0.5
-	maxDelayFraction = 1.0
+	// refused. Not every pass waits as long as a timer, so that calls may be in time at the
+	// former; at the latter next to none can.
+	minDelayFraction = 1.0
+	maxDelayFraction = 2.0
 	// minLinkUse and maxLinkUse are the parts of the link's rate, taken by requests, from
 	// which some and all calls are refused. Beyond, requests wait at the link until their
 	// callers have gone, and what they take at servers is lost.
