--- a/place/choose.go
+++ b/place/choose.go
@@ -16,12 +16,6 @@
 	// count as Deprioritized.
 	aboveShareEngineWait    = 150 * time.Millisecond
 	deprioritizedEngineWait = 40 * time.Millisecond
-	// displaceWeight is the additional weight of the time to read a shared
-	// part: besides that time, a second copy displaces other parts from the
-	// cache.
-	displaceWeight = 2.0
-	// crossZonePenalty is added to the rank of a server in another zone.
-	crossZonePenalty = 60 * time.Millisecond
 	// spareCalls is the number of calls beyond its slots that a server of a
 	// plain service, which has no model engine, is sent.
 	spareCalls = 2
@@ -123,18 +117,16 @@
 		queuedJobs--
 	}
 	o.slotWait = max(s.slotWait(queuedJobs), s.part.wait(queuedJobs, now))
-	read := s.readTime(uncached)
-	o.firstToken = o.wait + read + s.idleTime()
-	otherZone := s.instance.Zone != p.options.Zone
-	if otherZone && j.chain.zoneLocal() {
-		shared = max(shared, j.chain.affinityTokens())
+	x := offer{
+		wait: o.wait, slotWait: o.slotWait, queuedRead: s.readTime(queued), read: s.readTime(uncached),
+		position: preferred.position(s), otherZone: s.instance.Zone != p.options.Zone, failureRate: s.currentFailureRate(now),
 	}
-	weight := displaceWeight + preferredStep*float64(preferred.position(s))
-	o.rank = o.wait + o.slotWait + read + s.readTime(queued) + time.Duration(weight*float64(s.readTime(shared))) +
-		time.Duration(s.currentFailureRate(now)*float64(failurePenalty))
-	if otherZone {
-		o.rank += crossZonePenalty
+	if x.otherZone && j.chain.zoneLocal() {
+		shared = max(shared, j.chain.affinityTokens())
 	}
+	x.sharedRead = s.readTime(shared)
+	o.firstToken = o.wait + x.read + s.idleTime()
+	o.rank = x.cost()
 	return o
 }
 
--- a/place/preferred.go
+++ b/place/preferred.go
@@ -11,9 +11,6 @@
 	// first is used before the others, which take over when it is busy, so that
 	// all daemons put further copies of a part on the same few servers.
 	preferredCount = 4
-	// preferredStep is the weight that each position in the preference order
-	// adds to the time to read the uncached shared parts.
-	preferredStep = 2.5
 	// zoneLocalTokens is the length up to which the last shared part has
 	// preferred servers in every zone.
 	zoneLocalTokens = 2000
--- a/place/server.go
+++ b/place/server.go
@@ -33,9 +33,6 @@
 	failureHalfLife = 2 * time.Second
 	// outcomeWeight is the weight of the newest outcome in the failure rate.
 	outcomeWeight = 0.3
-	// failurePenalty is added to the rank of a server that fails every request,
-	// and in proportion at lower failure rates.
-	failurePenalty = 1500 * time.Millisecond
 	// blockMin and blockMax bound the time for which a server that cannot be
 	// reached gets no requests.
 	blockMin = 150 * time.Millisecond
@@ -182,7 +179,10 @@
 	case s.engine == nil:
 		return time.Duration(float64(l.running) * float64(callTime) * s.latencyRatio)
 	}
-	return s.readTime(l.unreadTokens) + s.streamTime(l.running)
+	if s.workTime.IsKnown() {
+		return s.scaled(s.rates.engine.Read(l.unreadTokens) + s.rates.engine.Streams(l.running))
+	}
+	return time.Duration((readTime(l.unreadTokens) + float64(l.running)*float64(streamTime)) * s.latencyRatio)
 }
 
 // scaled returns a time at the usual work time as the time on this server.
@@ -198,16 +198,8 @@
 	return time.Duration(readTime(tokens) * s.latencyRatio)
 }
 
-// streamTime returns the delay of a first token by running streams.
-func (s *server) streamTime(running int) time.Duration {
-	if s.workTime.IsKnown() {
-		return s.scaled(s.rates.engine.Streams(running))
-	}
-	return time.Duration(float64(running) * float64(streamTime) * s.latencyRatio)
-}
-
-// idleTime returns the time to the first token of an idle engine that has nothing to
-// read, or of the answer of a plain service if its servers state their work time.
+// idleTime returns the time to the first token of an idle server that has nothing to
+// read: of an engine, and of a plain service whose servers state their work time.
 func (s *server) idleTime() time.Duration {
 	switch {
 	case s.engine == nil:
