place: plain servers without a work time are expected to answer as before

The model of the work time had given them 5 ms, from which their latency ratio would have been learned. TestFirstTokenOfPlainServers fails without the change: got 5 ms, 0 expected.

--- a/place/server.go
+++ b/place/server.go
@@ -202,8 +202,10 @@
 // read: of an engine, and of a plain service whose servers state their work time.
 func (s *server) idleTime() time.Duration {
 	switch {
-	case s.engine == nil:
+	case s.engine == nil && s.workTime.IsKnown():
 		return s.scaled(s.rates.call)
+	case s.engine == nil:
+		return 0
 	case s.workTime.IsKnown():
 		return s.scaled(s.rates.engine.Base())
 	}
--- a/place/stated_test.go
+++ b/place/stated_test.go
@@ -79,3 +79,24 @@
 		l.End(Inconclusive)
 	})
 }
+
+// Guards against servers that state no work time and are treated otherwise than before,
+// and against plain servers whose stated work time tells nothing.
+func TestFirstTokenOfPlainServers(t *testing.T) {
+	bubble(t, 0, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		r.Put(wigeonladder.Instance{ID: "a", Service: "app", Zone: "zone-a", Slots: 6})
+		plain := func() *Lease {
+			j := r.job("w", "")
+			j.Service, j.Prompt = "app", wigeonladder.Prompt{}
+			return r.acquire(t, j)
+		}
+		l := plain()
+		is.Equal(l.ExpectedFirstToken, time.Duration(0))
+		time.Sleep(30 * time.Millisecond)
+		r.RecordLoad(l.Instance, wigeonladder.ServerLoad{Slots: 6, WorkTime: 2}, l.sentAt)
+		l.RecordFirstToken()
+		l.End(Completed)
+		is.Equal(plain().ExpectedFirstToken, 2*callTime)
+	})
+}
