place: ignore reported work times of an impossible age; the simulated fleet is free of data races

A report with an age beyond the range of a duration put the work time into the future, from where no later one replaced it. TestWorkTimesAreReported fails without the bound (0.7, 1.2 expected). The race detector found the simulation reading its results and its list of pools without synchronization.

--- a/place/fleet_test.go
+++ b/place/fleet_test.go
@@ -217,19 +217,29 @@
 		f := newFleet(ctx, o)
 		f.play(ctx)
 		time.Sleep(10 * time.Second)
-		r = f.result
-		most := 0
-		for _, e := range f.engines {
-			r.readTokens += e.readTokens
-			most = max(most, e.readTokens)
-		}
-		r.mostRead = float64(most*len(f.engines)) / float64(r.readTokens)
+		r = f.results()
 		cancel()
 		time.Sleep(time.Hour) // ends all sleeps
 	})
 	return r
 }
 
+// results returns what callers saw and what the engines read.
+func (f *fleet) results() fleetResult {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.result
+	most := 0
+	for _, e := range f.engines {
+		e.mu.Lock()
+		r.readTokens += e.readTokens
+		most = max(most, e.readTokens)
+		e.mu.Unlock()
+	}
+	r.mostRead = float64(most*len(f.engines)) / float64(r.readTokens)
+	return r
+}
+
 // newFleet starts the pools and engines of a fleet.
 func newFleet(ctx context.Context, o fleetOptions) *fleet {
 	f := &fleet{options: o, engines: map[string]*simulatedEngine{}, random: rand.New(rand.NewPCG(o.seed, 1))}
@@ -252,6 +262,8 @@
 			p.Put(e.instance)
 		}
 		f.pools = append(f.pools, p)
+	}
+	for i, p := range f.pools {
 		go f.report(ctx, i, p, rand.New(rand.NewPCG(o.seed, uint64(i)+1000)))
 	}
 	return f
--- a/place/stated.go
+++ b/place/stated.go
@@ -14,6 +14,8 @@
 	// steadyWorkTime is the ratio of work times up to which the machine of a server
 	// counts as equally fast while it read a prompt.
 	steadyWorkTime = 1.25
+	// maxStatedAge is the age from which a reported work time tells nothing.
+	maxStatedAge = 10 * time.Second
 )
 
 // serviceRates is what was learned about the servers of a service together.
@@ -86,7 +88,7 @@
 
 // importStated applies a work time that a server stated to another daemon.
 func (p *Pool) importStated(x StatedWorkTime, now time.Time) {
-	if s := p.servers[x.Server]; s != nil && x.AgeMs >= 0 {
+	if s := p.servers[x.Server]; s != nil && x.AgeMs >= 0 && x.AgeMs < maxStatedAge.Milliseconds() {
 		s.workTime = s.workTime.With(float64(x.WorkTime)/100, now.Add(-time.Duration(x.AgeMs)*time.Millisecond))
 	}
 }
--- a/place/stated_test.go
+++ b/place/stated_test.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -59,7 +60,7 @@
 }
 
 // Guards against work times that daemons do not tell each other, and against an old one
-// that replaces a newer one.
+// that replaces a newer one, and against an impossible age that keeps later ones out.
 func TestWorkTimesAreReported(t *testing.T) {
 	bubble(t, 1, func(t *testing.T, a *rig) {
 		is := is.New(t)
@@ -76,6 +77,14 @@
 		r.Stated[0].WorkTime, r.Stated[0].AgeMs = 70, 5000
 		b.Import("a", r, time.Second)
 		is.True(b.Dump()[0].WorkTime > 1.69)
+		for _, age := range []int64{-1, 1 << 62, math.MaxInt64} {
+			r.Stated[0].AgeMs = age
+			b.Import("a", r, time.Second)
+		}
+		r.Stated[0].WorkTime, r.Stated[0].AgeMs = 120, 0
+		time.Sleep(time.Millisecond)
+		b.Import("a", r, time.Second)
+		is.Equal(b.Dump()[0].WorkTime, 1.2)
 		l.End(Inconclusive)
 	})
 }
