conn: a refusal cannot hold up the accept loop

The answer to a request that is refused at once is written by the accept loop. A peer without a receive window could only block it if the buffer of a new connection were too small; a deadline of 0.1 s rules that out.

--- a/conn/refuse.go
+++ b/conn/refuse.go
@@ -12,6 +12,10 @@
 // refusalBufferBytes is the most that is read at once of a request that is refused.
 const refusalBufferBytes = 32 << 10
 
+// refusalWriteTimeout bounds the writing of a refusal while other connections wait to be
+// accepted. The answer fits into the buffer of a new connection.
+const refusalWriteTimeout = 100 * time.Millisecond
+
 // defaultMaxRefusing is the default of Limits.MaxRefusing.
 const defaultMaxRefusing = 1024
 
@@ -26,6 +30,7 @@
 	received, ok := receive(n, l.refusalBuffer[:])
 	answered := received > 0
 	if answered && ok {
+		_ = n.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
 		_, err := n.Write(l.refusal)
 		ok = err == nil && !isWholeRequest(l.refusalBuffer[:received])
 	}
