--- a/place/cold_test.go
+++ b/place/cold_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -219,9 +220,14 @@
 	t.Run("its zone is cut off", func(t *testing.T) {
 		restricted(t, func(is *is.I, r *rig) {
 			zone := []Member{{"d1", "zone-b"}}
-			live := zone
+			var cut atomic.Bool
 			r.options.KnownMembers = func() []Member { return zone }
-			r.options.Members = func() []Member { return live }
+			r.options.Members = func() []Member {
+				if cut.Load() {
+					return nil
+				}
+				return zone
+			}
 			r.Remove("m0")
 			r.Put(r.otherZone(0))
 			call := func() *Lease {
@@ -231,7 +237,7 @@
 			}
 			call().End(Unreachable)
 			is.True(left(r) > 0)
-			live = nil // later than the calls fail
+			cut.Store(true) // noticed later than that calls fail
 			time.Sleep(memberPeriod + sweepPeriod)
 			is.Equal(left(r), time.Duration(0))
 			call().End(Unreachable)
