inventory: only the first call after a failed one is shorter

A slow answer over a full link took longer than the shorter time of every call after a failure. The cause, the full link, remains. TestChangeArrivesAfterTwoLostCalls holds as before.

--- a/inventory/feed.go
+++ b/inventory/feed.go
@@ -13,8 +13,9 @@
 	// maxFeedItems bounds the changes that a Feed keeps.
 	maxFeedItems = 4096
 	// shortWatchTimeout is how long a watch of the store waits for a change if an answer
-	// is needed also if there is none: other daemons wait for it, or the call before
-	// failed, so that another lost one must be noticed soon.
+	// is needed also if there is none: other daemons wait for it, or one call has just
+	// failed, so that another lost one must be noticed soon. After further failures the
+	// answer may be slow, and gets the usual time.
 	shortWatchTimeout = 100 * time.Millisecond
 	// feedUsedTime is the time since the last call of Watch for which a feed counts as
 	// used. It is longer than the time between two attempts of a daemon that got no
--- a/inventory/follower.go
+++ b/inventory/follower.go
@@ -73,8 +73,8 @@
 	options    Options
 	lastAnswer time.Time
 	lost       bool
-	// failed is true after a call that failed, until one succeeds.
-	failed       bool
+	// failures is the number of calls that failed since the last answer.
+	failures     int
 	progress     progress
 	retryBackoff *backoff.ExponentialBackOff
 	// relayed is true if another daemon answered the last watch, relayFailedAt when
@@ -171,12 +171,13 @@
 			return p, began, nil
 		}
 		if !errors.Is(err, ErrNoReader) {
-			f.relayFailedAt, f.failed = time.Now(), true
+			f.relayFailedAt = time.Now()
+			f.failures++
 		}
 	}
 	sleep(ctx, time.Until(f.nextReadAt))
 	timeout := f.options.WatchTimeout
-	if f.failed || f.options.Feed != nil && f.options.Feed.isUsed() {
+	if f.failures == 1 || f.options.Feed != nil && f.options.Feed.isUsed() {
 		timeout = min(timeout, shortWatchTimeout)
 	}
 	began := f.options.Now()
@@ -231,7 +232,7 @@
 		}
 	}
 	f.progress.record(p.Revision, now)
-	f.lastAnswer, f.failed = now, false
+	f.lastAnswer, f.failures = now, 0
 	f.retryBackoff.Reset()
 }
 
@@ -240,7 +241,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	f.failed = true
+	f.failures++
 	if !f.lost && time.Since(f.lastAnswer) > storeLostAfter {
 		f.lost = true
 		f.options.Journal.Note("", "store_lost", "age", time.Since(f.lastAnswer), "error", err)
