place: limits of the work at an engine ignore the learned rates

The learned rates are about half of the assumed ones, and the limits up to which an engine is sent calls were in expected waits. The limits count work in assumed rates again. A moment's work time also gives way to the usual one over long waits (WorkTime.Scale).

TestLimitOfWorkIgnoresLearnedRates fails without the change.

--- a/estimate/rates_test.go
+++ b/estimate/rates_test.go
@@ -60,6 +60,8 @@
 	now = w.StatedAt()
 	is.Equal(w.At(now), 1.75)
 	is.True(math.Abs(w.At(now.Add(2*time.Second))-0.7) < 0.05)
+	is.True(math.Abs(float64(w.Scale(now, time.Millisecond))/float64(time.Millisecond)-1.75) < 0.01)
+	is.True(w.Scale(now, 5*time.Second) < 4500*time.Millisecond) // 8.75 s at the moment's work time
 	is.Equal(w.With(9, now.Add(-time.Second)), w)
 	is.Equal(w.With(0, now.Add(time.Second)), w)
 }
--- a/estimate/worktime.go
+++ b/estimate/worktime.go
@@ -57,6 +57,17 @@
 	return w.usual + (w.last-w.usual)*math.Exp(-max(float64(now.Sub(w.at)), 0)/float64(momentMemory))
 }
 
+// Scale returns how long work that starts at a time takes on the machine, given its time
+// at a work time of 1. Over long work the moment gives way to the usual work time.
+func (w WorkTime) Scale(now time.Time, d time.Duration) time.Duration {
+	if w.count == 0 || d <= 0 {
+		return d
+	}
+	long := float64(d) * w.usual / float64(momentMemory)
+	deviation := (w.At(now) - w.usual) * (1 - math.Exp(-long)) / long
+	return time.Duration(float64(d) * (w.usual + deviation))
+}
+
 // Usual returns the usual work time; 1 for a server that states none.
 func (w WorkTime) Usual() float64 {
 	if w.count == 0 {
--- a/place/choose.go
+++ b/place/choose.go
@@ -132,7 +132,7 @@
 
 // hasRoom reports whether a job may be sent to a server now. A workspace that
 // has received its share gets only spare capacity.
-func (p *Pool) hasRoom(g *serviceState, s *server, wait time.Duration, j *Job, standing fair.Standing) bool {
+func (p *Pool) hasRoom(g *serviceState, s *server, j *Job, standing fair.Standing) bool {
 	if s.part.watched && s.part.wait(0, time.Now()) > 0 {
 		return false
 	}
@@ -156,7 +156,7 @@
 		}
 	case fair.BelowShare:
 	}
-	return l.running < slots && wait < engineWaitLimit(standing) && l.memoryTokens+j.memoryTokens() <= s.memoryLimit()
+	return l.running < slots && s.queuedWork() < engineWaitLimit(standing) && l.memoryTokens+j.memoryTokens() <= s.memoryLimit()
 }
 
 // engineWaitLimit returns the expected wait at an engine up to which it is sent
--- a/place/pool.go
+++ b/place/pool.go
@@ -225,7 +225,7 @@
 		return nil, err
 	}
 	best := p.bestServer(g, j, now)
-	if best != nil && best.server.queuedJobs == 0 && p.hasRoom(g, best.server, best.wait, j, p.standing(g, j)) {
+	if best != nil && best.server.queuedJobs == 0 && p.hasRoom(g, best.server, j, p.standing(g, j)) {
 		l := p.grantLease(g, j, best, now)
 		p.mu.Unlock()
 		return l, nil
--- a/place/queue.go
+++ b/place/queue.go
@@ -134,7 +134,7 @@
 	var lateCandidate *candidate
 	for _, j := range q[:min(len(q), maxScannedJobs)] {
 		p.reassign(g, j, now)
-		if !g.has(j.assigned) || !j.assigned.available(now) || !p.hasRoom(g, j.assigned, j.assigned.expectedWait(), j, standing) {
+		if !g.has(j.assigned) || !j.assigned.available(now) || !p.hasRoom(g, j.assigned, j, standing) {
 			continue
 		}
 		r := p.evaluate(j.assigned, j, preferredSet{}, now)
@@ -242,7 +242,7 @@
 	if standing == fair.IdleOnly {
 		return wigeonladder.Errorf(overloadCode(standing), g.name, "the best server does not idle; the workspace is %v its share", standing).WithRetryDelay(p.retryDelay(g, j))
 	}
-	expected := best.wait + best.slotWait + best.server.readTime(best.server.queuedTokens) - engineWaitLimit(standing)
+	expected := best.server.queuedWork() + best.slotWait + best.server.readTime(best.server.queuedTokens) - engineWaitLimit(standing)
 	if g.waiting >= maxWaiting || !now.Add(max(expected, 0)).Before(p.waitUntil(g, j)) {
 		return wigeonladder.Errorf(overloadCode(standing), g.name, "%d calls wait; the workspace is %v its share", g.waiting, standing).WithRetryDelay(p.retryDelay(g, j))
 	}
--- a/place/server.go
+++ b/place/server.go
@@ -185,9 +185,21 @@
 	return time.Duration((readTime(l.unreadTokens) + float64(l.running)*float64(streamTime)) * s.latencyRatio)
 }
 
+// queuedWork returns the work that was sent to the server before, as the wait at an engine
+// of the assumed rates. The limits of the work at an engine are in this measure: with the
+// learned, lower rates they would leave engines idle, because the reports of other
+// daemons still count prompts that have been read.
+func (s *server) queuedWork() time.Duration {
+	if s.engine == nil || !s.workTime.IsKnown() {
+		return s.expectedWait()
+	}
+	l := s.total()
+	return time.Duration(readTime(l.unreadTokens) + float64(l.running)*float64(streamTime))
+}
+
 // scaled returns a time at the usual work time as the time on this server.
 func (s *server) scaled(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * s.workTime.At(time.Now()) * s.latencyRatio)
+	return time.Duration(float64(s.workTime.Scale(time.Now(), d)) * s.latencyRatio)
 }
 
 // readTime returns the time that the server needs to read prompt tokens.
--- a/place/stated_test.go
+++ b/place/stated_test.go
@@ -8,6 +8,8 @@
 	"github.com/matryer/is"
 
 	"github.com/wigeonladder/wigeonladder"
+	"github.com/wigeonladder/wigeonladder/estimate"
+	"github.com/wigeonladder/wigeonladder/fair"
 )
 
 // tills returns a fleet whose servers differ in speed, with other work on their machines,
@@ -109,3 +111,22 @@
 		is.Equal(plain().ExpectedFirstToken, 2*callTime)
 	})
 }
+
+// Guards against engines that idle under overload because their learned rates, lower than
+// the assumed ones, let less work be sent to them.
+func TestLimitOfWorkIgnoresLearnedRates(t *testing.T) {
+	bubble(t, 1, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		g := r.services["model"]
+		s := g.order[0]
+		j := r.job("w", "s")
+		g.rates.engine = estimate.NewRates(firstTokenTime, readTokensPerMs/2, streamTime)
+		s.workTime = s.workTime.With(1.7, time.Now())
+		s.own = load{running: 2, unreadTokens: 20000}
+		is.True(s.expectedWait() > maxEngineWait)
+		is.True(r.hasRoom(g, s, j, fair.BelowShare))
+		s.own.unreadTokens = 30000
+		is.True(!r.hasRoom(g, s, j, fair.BelowShare))
+		s.own = load{}
+	})
+}
