admission, edge: a return schedule ends at the latest time; metrics of the gate

Cause: while no rate was known, the first refused call of a workspace put the next return an hour off, so that all later ones got the longest retry delay. The schedule now ends at the latest time. TestRefusedCallsReturnInTurn fails before (1.5s != 50ms) and passes after.

The state of the gate is published as a metric, as the lines load have it.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -80,4 +80,9 @@
 	is.Equal(last, 1500*time.Millisecond)
 	later := b.RetryDelay(now.Add(10*time.Second), Service{MinRate: 1000}, 100, 50*time.Millisecond, 1500*time.Millisecond)
 	is.True(later < 400*time.Millisecond)
+
+	// Nothing was placed yet, so that no rate is known.
+	first := &Backlog{}
+	first.RetryDelay(now, Service{}, 100, 50*time.Millisecond, 1500*time.Millisecond)
+	is.Equal(first.RetryDelay(now.Add(5*time.Second), Service{MinRate: 1000}, 100, 50*time.Millisecond, 1500*time.Millisecond), 50*time.Millisecond)
 }
--- a/admission/returns.go
+++ b/admission/returns.go
@@ -20,6 +20,7 @@
 	if d >= latest {
 		return latest
 	}
-	r.next = r.next.Add(spacing)
+	// A schedule beyond the latest time would outlast a short lack of room.
+	r.next = r.next.Add(min(spacing, latest-d))
 	return d
 }
--- a/edge/gate.go
+++ b/edge/gate.go
@@ -56,6 +56,21 @@
 	return admission.DaemonLoad{TimerDelay: timerDelay, LinkUse: g.link.Use(now)}
 }
 
+// gateMetrics is what is published of a gate.
+type gateMetrics struct {
+	// TimerDelayMicros is the mean delay of timers in microseconds, LinkUse the part of the
+	// link's rate that requests take, Refused the number of refused calls since the start.
+	TimerDelayMicros int64   `json:"timerDelayMicros"`
+	LinkUse          float64 `json:"linkUse"`
+	Refused          int     `json:"refused"`
+}
+
+// metrics returns what is published of the gate.
+func (g *gate) metrics() gateMetrics {
+	linkUse, refused := g.stats()
+	return gateMetrics{TimerDelayMicros: g.timerDelay().Microseconds(), LinkUse: linkUse, Refused: refused}
+}
+
 // stats returns the use of the link and the number of calls that were refused since the
 // start.
 func (g *gate) stats() (linkUse float64, refused int) {
--- a/edge/operator.go
+++ b/edge/operator.go
@@ -77,6 +77,7 @@
 	vars.Set("firstTokens", expvar.Func(func() any { return d.pool.FirstTokens() }))
 	vars.Set("events", d.journal.EventCounts())
 	vars.Set("open", expvar.Func(func() any { return d.front.OpenCalls() }))
+	vars.Set("gate", expvar.Func(func() any { return d.gate.metrics() }))
 	vars.Set("memory", expvar.Func(func() any { return d.front.Memory() }))
 	vars.Set("daemons", expvar.Func(func() any { return d.liveDaemons() }))
 	vars.Set("reportsSent", expvar.Func(func() any { n, _ := d.mesh.Load().SentTotals(); return n }))
