--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -74,6 +74,10 @@
 	// daemon, unackedTimeout the wait for the acknowledgement of sent bytes.
 	dialTimeout    = time.Second
 	unackedTimeout = 1500 * time.Millisecond
+	// storeRedialInterval is the time after which a daemon that cannot connect to the
+	// store tries again, beside the attempts that still wait: what it knows of leaving
+	// servers must be new within the contact time after a partition.
+	storeRedialInterval = 250 * time.Millisecond
 )
 
 // dial connects to the store or to another daemon.
@@ -148,7 +152,7 @@
 	debug.SetMemoryLimit(int64(float64(o.Settings.MemoryMB<<20) * memoryLimitFraction))
 	ctx, cancel := context.WithCancel(ctx)
 	d := &Daemon{
-		settings: o.Settings, platform: o.NewPlatform(dial), journal: operator.NewJournal(o.Log),
+		settings: o.Settings, platform: o.NewPlatform(conn.Redialing(dial, storeRedialInterval)), journal: operator.NewJournal(o.Log),
 		meter: NewMeter(), suspects: retry.NewSuspects(), cancel: cancel, startedAt: time.Now(),
 	}
 	d.seeds.Store(&o.Settings.Seeds)
@@ -185,7 +189,7 @@
 	}
 	feed, contact := inventory.NewFeed(uptime), inventory.NewContact(uptime)
 	d.mesh.Store(exchange.New(ctx, exchange.Options{
-		Self:     exchange.Member{Name: s.Name, Zone: s.Zone, Address: s.PeerAddress, Incarnation: incarnation},
+		Self:     exchange.Member{Name: s.Name, Zone: s.Zone, Address: s.PeerAddress, Incarnation: incarnation, MemoryMB: int64(s.MemoryMB)},
 		Listener: peers, Dial: dial, Seeds: func() []string { return *d.seeds.Load() },
 		Export: d.exportReport, Import: d.importReport, Known: d.known, Learn: d.learn, Feed: feed, StoreContact: contact.Unbroken, Journal: d.journal,
 	}))
--- a/exchange/mesh.go
+++ b/exchange/mesh.go
@@ -226,12 +226,12 @@
 	now := time.Now()
 	m.mu.Lock()
 	last := m.origins[r.From]
-	if last.incarnation == r.Incarnation && r.Sequence <= last.sequence {
+	if last.isOutdated(r) {
 		m.mu.Unlock()
 		return false
 	}
 	sameZone := m.isInZone(r, method == methodReport)
-	m.origins[r.From] = origin{incarnation: r.Incarnation, sequence: r.Sequence, validUntil: now.Add(r.Lifetime()), sameZone: sameZone, zone: r.Zone, draining: r.Draining}
+	m.origins[r.From] = last.with(r, sameZone, now)
 	if sameZone {
 		m.holdForRelay(r)
 	}
@@ -249,7 +249,7 @@
 func (m *Mesh) noteConnected(p *peer, conn *jsonrpc2.Conn, reply HelloReply) {
 	m.mu.Lock()
 	p.conn, p.feeds = conn, reply.Feeds
-	p.zone, p.name, p.passes, p.columns = reply.Self.Zone, reply.Self.Name, reply.Passes, reply.Columns
+	p.zone, p.name, p.memoryMB, p.passes, p.columns = reply.Self.Zone, reply.Self.Name, reply.Self.MemoryMB, reply.Passes, reply.Columns
 	p.connected, p.connectedAt = true, time.Now()
 	m.mu.Unlock()
 	if m.options.Learn != nil && reply.Known != nil {
--- a/front/handle.go
+++ b/front/handle.go
@@ -9,13 +9,17 @@
 )
 
 // refuseUnread answers a request that could not be read, or whose head was enough to
-// refuse it. The call is nil in the first case, and the connection is closed then.
+// refuse it. The call is nil, and the connection is closed, if the head could not be
+// read.
 func (c *connection) refuseUnread(x *exchange, call *wigeonladder.Call, err error) {
 	e := errorOf(err)
 	if c.account.Evicted() {
 		// The reads failed because the budget interrupted them.
 		e = errorOf(memory.ErrEvicted)
 	}
+	if e.Code == wigeonladder.CodeSlowCaller {
+		c.server.slowCalls.Add(1)
+	}
 	c.conn.Resume()
 	id, event := "", "call_unreadable"
 	if call != nil {
