--- a/edge/operator.go
+++ b/edge/operator.go
@@ -77,6 +77,7 @@
 	vars.Set("firstTokens", expvar.Func(func() any { return d.pool.FirstTokens() }))
 	vars.Set("events", d.journal.EventCounts())
 	vars.Set("open", expvar.Func(func() any { return d.front.OpenCalls() }))
+	vars.Set("gate", expvar.Func(func() any { return d.gate.metrics() }))
 	vars.Set("connections", expvar.Func(func() any { return d.front.OpenConns() }))
 	vars.Set("shed", expvar.Func(func() any { return d.front.ShedConns() }))
 	vars.Set("slow", expvar.Func(func() any { return d.front.SlowCalls() }))
