--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -13,9 +13,9 @@
 	// messages of a zone grow with its daemons and not with their square.
 	meshZonePeers = 12
 	// hubMessageInterval is the mean time between two messages to a hub.
-	hubMessageInterval = 2500 * time.Microsecond
+	hubMessageInterval = 5 * time.Millisecond
 	// hubRelayPeriod is the time between two relays of a hub to other zones.
-	hubRelayPeriod = 150 * time.Millisecond
+	hubRelayPeriod = 300 * time.Millisecond
 	// followTime is how long a daemon that passed reports to this one gets the
 	// reports of others in return.
 	followTime = lifetimeMin
