--- a/review/_standin2/heads.go
+++ b/review/_standin2/heads.go
@@ -13,11 +13,11 @@
 	// headServers and headSlots are those of pool-modelos on tlaloc-retornos.
 	headServers = 12
 	headSlots   = 48
-	// headLines is the number of header lines of four bytes and their ends in a head,
-	// which stays below maxHeaderBytes, 16,384.
-	headLines = 2600
+	// headLines is the number of header lines without a value in a head, which stays below
+	// maxHeaderBytes, 16,384.
+	headLines = 3900
 	// headCallers callers call each daemon at the same time, again and again.
-	headCallers = 330
+	headCallers = 1000
 	headTime    = 100 * time.Second
 	// A stream has headEvents events, one each headDelay.
 	headEvents = 20
@@ -25,7 +25,7 @@
 )
 
 // manyHeaders plays callers whose requests have many short header lines, on machines of
-// the smallest size of the sheets.
+// tlaloc-retornos.
 func manyHeaders(r *rig) (bool, error) {
 	for n := range 2 {
 		if _, err := r.addServer(fmt.Sprintf("i-app%d", n), appService, []string{"a", "b"}[n], 6); err != nil {
@@ -40,7 +40,7 @@
 		s.EventCount, s.Delay = headEvents, headDelay
 	}
 	r.store.PutConfig(config(1))
-	if err := r.addDaemons(smallestMachine, "a", "b"); err != nil {
+	if err := r.addDaemons(tlalocMachine, "a", "b"); err != nil {
 		return false, err
 	}
 	r.callAll()
@@ -69,7 +69,7 @@
 		return
 	}
 	defer c.Close()
-	line := "a:bc\r\n"
+	line := "a:\r\n"
 	more := strings.Repeat(line, headLines)
 	if !r.trouble {
 		more = "a:" + strings.Repeat("b", len(more)-4) + "\r\n"
@@ -79,7 +79,13 @@
 		"\r\nModel: m\r\nToken-Usage: 100,20\r\nPrompt-Prefix: 5c1e07a2:50,"+fmt.Sprintf("%x", len(id))+":50\r\nConnection: close\r\n"+more+"Content-Length: 0\r\n\r\n")
 	b, _ := io.ReadAll(c)
 	status, _, _ := strings.Cut(string(b), "\r\n")
+	if status == "" {
+		status = "no answer"
+	}
 	r.count("long head: " + status)
+	if r.get("long head: "+status) <= notedCalls {
+		r.note("long head: %s /stream/x (%d bytes of headers): %s", id, len(more), status)
+	}
 	if !strings.Contains(status, "200") {
 		time.Sleep(200 * time.Millisecond)
 	}
--- a/review/_standin2/history.go
+++ b/review/_standin2/history.go
@@ -33,7 +33,7 @@
 	}
 	end := time.Now().Add(historyTime)
 	r.callAll()
-	for time.Now().Before(end) && !r.faultShown() {
+	for time.Now().Before(end) && r.ctx.Err() == nil && !r.faultShown() {
 		if r.trouble {
 			r.storm(put)
 		}
@@ -47,7 +47,7 @@
 func (r *rig) storm(put func()) {
 	t := time.NewTicker(stormGap)
 	defer t.Stop()
-	for end := time.Now().Add(stormTime); time.Now().Before(end); <-t.C {
+	for end := time.Now().Add(stormTime); time.Now().Before(end) && r.ctx.Err() == nil; <-t.C {
 		put()
 	}
 }
--- a/review/_standin2/rig.go
+++ b/review/_standin2/rig.go
@@ -164,14 +164,27 @@
 	peakMB float64
 }
 
-// freeAddress returns a loopback address with a free port.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// basePort is the first port of a daemon.
+const basePort = 7400
+
+// freeAddresses returns addresses with free ports on a loopback IP address of the n-th
+// daemon of this process. No outgoing connection uses it as its source, so that none can
+// take a port of the daemon while it restarts.
+func freeAddresses(n, count int) ([]string, error) {
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&63, pid&255, n+1)
+	var free []string
+	for port := basePort; len(free) < count; port++ {
+		if port == basePort+100 {
+			return nil, fmt.Errorf("too few free ports at %s", ip)
+		}
+		a := fmt.Sprintf("%s:%d", ip, port)
+		if l, err := net.Listen("tcp", a); err == nil {
+			_ = l.Close()
+			free = append(free, a)
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return free, nil
 }
 
 // addDaemons writes the settings of daemons, one for each zone named, and starts them.
@@ -179,12 +192,11 @@
 	var seeds []string
 	for n, zone := range zones {
 		d := &daemon{rig: r, name: fmt.Sprintf("edge-%s-%d", zone, n+1), limits: l}
-		for _, a := range []*string{&d.front, &d.readiness, &d.control, &d.metric} {
-			var err error
-			if *a, err = freeAddress(); err != nil {
-				return err
-			}
+		a, err := freeAddresses(n, 4)
+		if err != nil {
+			return err
 		}
+		d.front, d.readiness, d.control, d.metric = a[0], a[1], a[2], a[3]
 		if len(seeds) < 3 {
 			seeds = append(seeds, d.control)
 		}
@@ -438,6 +450,10 @@
 // hbt-tills-grown.
 var smallestMachine = limits{memoryMB: 144, files: 3075, bandwidthM: 750, applyMs: 3000, leaveMs: 3000, keyTrustMs: 5000, slack: 184}
 
+// tlalocMachine has the limits and the bounds of the smaller machines of
+// tlaloc-retornos.
+var tlalocMachine = limits{memoryMB: 414, files: 6150, bandwidthM: 1500, applyMs: 2000, leaveMs: 2000, keyTrustMs: 5000, slack: 58}
+
 // addServers starts two servers of each service.
 func (r *rig) addServers() error {
 	for _, s := range []struct {
