edge: log the wait for the processor and the age of what is known of the store

The delay of timers does not tell for how long goroutines wait: the runtime runs a goroutine whose timer fires before those that were ready earlier. The lines load have both from now on.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -133,6 +133,7 @@
 	suspicionsSentAt time.Time
 	front            *front.Server
 	gate             *gate
+	processor        *processor
 	seeds            atomic.Pointer[[]string]
 	leaving          atomic.Bool
 	// stopsAt is the time at which a stopping daemon ends the calls that still run; nil
@@ -153,7 +154,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	d := &Daemon{
 		settings: o.Settings, platform: o.NewPlatform(conn.Redialing(dial, storeRedialInterval)), journal: operator.NewJournal(o.Log),
-		meter: NewMeter(), suspects: retry.NewSuspects(), cancel: cancel, startedAt: time.Now(),
+		meter: NewMeter(), processor: newProcessor(), suspects: retry.NewSuspects(), cancel: cancel, startedAt: time.Now(),
 	}
 	d.seeds.Store(&o.Settings.Seeds)
 	if err := d.start(ctx); err != nil {
--- a/edge/observe.go
+++ b/edge/observe.go
@@ -12,6 +12,9 @@
 // dropped.
 const observePeriod = time.Second
 
+// observedWait is the quantile of the waits for the processor that is logged.
+const observedWait = 0.9
+
 // observe logs load and shares until the context ends.
 func (d *Daemon) observe(ctx context.Context) {
 	t := time.NewTicker(observePeriod)
@@ -44,6 +47,8 @@
 func (d *Daemon) logLoad() {
 	stats := d.pool.Stats()
 	linkUse, gated := d.gate.stats()
+	processorWait := d.processor.waitQuantile(observedWait)
+	configAge, _ := d.tableStore.ConfirmationAge()
 	for _, s := range stats.Services {
 		if s.Waiting == 0 && s.Running == 0 {
 			continue
@@ -51,7 +56,7 @@
 		d.journal.Note("", "load", "service", s.Service, "servers", s.Servers, "available", s.Available, "evacuated", s.Evacuated, "cold", s.Cold, "running", s.Running,
 			"waiting", s.Waiting, "waiting_tokens", s.WaitingTokens, "mean_wait", s.MeanWait, "wasted", s.WastedCost,
 			"first_tokens", s.FirstTokens.Count, "ratio_p10", s.FirstTokens.P10, "ratio_p50", s.FirstTokens.P50, "ratio_p90", s.FirstTokens.P90, "ratio_p99", s.FirstTokens.P99,
-			"sweep_delay", stats.SweepDelay, "timer_delay", stats.TimerDelay, "link_use", linkUse, "gated", gated, "open", d.front.OpenCalls(), "connections", d.front.OpenConns(), "shed", d.front.ShedConns(), "daemons", d.liveDaemons())
+			"sweep_delay", stats.SweepDelay, "timer_delay", stats.TimerDelay, "processor_wait", processorWait, "store_age", configAge, "link_use", linkUse, "gated", gated, "open", d.front.OpenCalls(), "connections", d.front.OpenConns(), "shed", d.front.ShedConns(), "daemons", d.liveDaemons())
 	}
 }
 
