front, conn: work on what was read before further requests

Cause: the runtime runs goroutines in the order in which they became ready. In a flood the close of a caller waited behind all requests that could be read, as did answers of servers and the news of the store. The delay of timers, from which the daemon decides what to refuse, does not show that wait, since the runtime runs the goroutine of a timer next.

Change: requests that have begun to arrive pass one at a time, each after all that is ready has run and the network was polled (front.Intake, conn.Yielder). The wait in the intake counts as the call's, and is what the gate decides by. Who waits for too long is refused unread, and while many do, new connections are refused with four system calls each.

--- a/admission/daemon.go
+++ b/admission/daemon.go
@@ -45,8 +45,9 @@
 
 // DaemonLoad is how near a daemon is to the limits of its machine.
 type DaemonLoad struct {
-	// TimerDelay is by how much timers of the process are late.
-	TimerDelay time.Duration
+	// Delay is for how long work waits for the processor: by how much timers of the process
+	// are late, or requests wait to be read.
+	Delay time.Duration
 	// LinkUse is the part of the link's rate that the requests of callers take; 0 if the
 	// rate is not known.
 	LinkUse float64
@@ -89,7 +90,7 @@
 	if h.TimeLeft > 0 {
 		limit = min(limit, h.TimeLeft)
 	}
-	return ramp(passesPerCall*l.TimerDelay.Seconds()/limit.Seconds(), minDelayFraction, maxDelayFraction)
+	return ramp(passesPerCall*l.Delay.Seconds()/limit.Seconds(), minDelayFraction, maxDelayFraction)
 }
 
 // refusedByLink returns the part of the calls that is refused because the link is full.
@@ -123,6 +124,6 @@
 		return wigeonladder.Errorf(wigeonladder.CodeOverload, "", "requests take %.0f in 100 of the daemon's link", 100*l.LinkUse).
 			WithRetryDelay(linkRetryDelay)
 	}
-	return wigeonladder.Errorf(wigeonladder.CodeOverload, "", "the daemon lacks processor time: its timers are %v late", l.TimerDelay.Round(time.Millisecond)).
+	return wigeonladder.Errorf(wigeonladder.CodeOverload, "", "the daemon lacks processor time: work waits for %v", l.Delay.Round(time.Millisecond)).
 		WithRetryDelay(otherDaemonDelay)
 }
--- a/admission/daemon_test.go
+++ b/admission/daemon_test.go
@@ -42,7 +42,7 @@
 			workspace = "small"
 		}
 		cost := callTime
-		if gated && p.gate.Refusal(DaemonLoad{TimerDelay: p.delay.Mean()}, Head{Workspace: workspace, TargetLatency: testTarget}) != nil {
+		if gated && p.gate.Refusal(DaemonLoad{Delay: p.delay.Mean()}, Head{Workspace: workspace, TargetLatency: testTarget}) != nil {
 			cost = refusalTime
 		}
 		freeAt = maxTimeOf(now, freeAt).Add(cost)
@@ -101,8 +101,8 @@
 	const lasting = 500 * time.Millisecond
 	is.True(fire(lasting, lasting, lasting, lasting, lasting) > lasting*8/10)
 	short, long := Head{TargetLatency: testTarget}, Head{TargetLatency: 10 * time.Second}
-	is.True(DaemonLoad{TimerDelay: d.Mean()}.HopelessRefusal(short) != nil)
-	is.True(DaemonLoad{TimerDelay: d.Mean()}.HopelessRefusal(long) == nil)
+	is.True(DaemonLoad{Delay: d.Mean()}.HopelessRefusal(short) != nil)
+	is.True(DaemonLoad{Delay: d.Mean()}.HopelessRefusal(long) == nil)
 }
 
 // Guards against a daemon behind a full link that places calls whose callers have gone when
--- a/conn/listener.go
+++ b/conn/listener.go
@@ -31,6 +31,9 @@
 	// parsed.
 	MaxUnread       int
 	RefusalResponse func() []byte
+	// Busy reports whether the connections that wait to be accepted are to be refused;
+	// nil for never.
+	Busy func() bool
 	// MaxRefusing is the number of connections that may wait at the same time for
 	// the end of a request that is refused. Beyond it a connection is closed after
 	// what has arrived was answered.
@@ -51,14 +54,17 @@
 	// newest contains the connections of the last unreadTime in the order in
 	// which they were accepted.
 	newest []*Conn
-	// refusalBuffer receives what refused peers have sent. Only Accept uses it.
+	// refusalBuffer receives what refused peers have sent. Only Accept uses it, the
+	// refusal and the number of accepts.
 	refusalBuffer [refusalBufferBytes]byte
 	refusal       []byte
+	accepts       int
+	yielder       *Yielder
 }
 
 // NewListener returns a Listener that accepts from l.
 func NewListener(l net.Listener, limits Limits) *Listener {
-	return &Listener{Listener: l, limits: limits, open: map[*Conn]struct{}{}}
+	return &Listener{Listener: l, limits: limits, open: map[*Conn]struct{}{}, yielder: NewYielder()}
 }
 
 // Accept returns the next connection as a *Conn. It retries after temporary
@@ -66,6 +72,11 @@
 // for good when Accept fails.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
+		if l.limits.Busy != nil && l.limits.Busy() && l.refuseNext() {
+			l.shed.Add(1)
+			l.yield()
+			continue
+		}
 		n, err := l.Listener.Accept()
 		if err != nil && isTemporaryAcceptError(err) {
 			time.Sleep(acceptRetryDelay)
@@ -79,17 +90,39 @@
 			if t, ok := n.(*net.TCPConn); ok {
 				_ = t.SetKeepAliveConfig(keepAlive)
 			}
+			l.yield()
 			return c, nil
 		}
 		l.shed.Add(1)
-		if !refuse {
+		if refuse {
+			l.refuse(n)
+		} else {
 			_ = n.Close()
-			continue
 		}
-		l.refuse(n)
+		l.yield()
+	}
+}
+
+// acceptsPerTurn is the number of connections that are accepted or refused before other
+// goroutines that are ready have their turn. It is large enough that connections do not
+// wait to be accepted until their peers give up.
+const acceptsPerTurn = 16
+
+// yield lets other goroutines run after each acceptsPerTurn calls, so that in a flood of
+// connections the work on those that were accepted before goes on. Only Accept uses it.
+func (l *Listener) yield() {
+	l.accepts++
+	if l.accepts%acceptsPerTurn == 0 {
+		l.yielder.Yield()
 	}
 }
 
+// Close closes the listener.
+func (l *Listener) Close() error {
+	defer l.yielder.Close()
+	return l.Listener.Close()
+}
+
 // admit returns an accepted connection as a *Conn, or nil if a limit is reached,
 // and then whether its request is to be refused.
 func (l *Listener) admit(n net.Conn) (c *Conn, refuse bool) {
--- a/conn/refuse.go
+++ b/conn/refuse.go
@@ -2,11 +2,15 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // refusalBufferBytes is the most that is read at once of a request that is refused.
@@ -24,32 +28,109 @@
 // awaited in the background, since a connection that is closed with unread bytes is
 // reset, and the reset can overtake the answer.
 func (l *Listener) refuse(n net.Conn) {
-	if l.refusal == nil {
-		l.refusal = l.limits.RefusalResponse()
-	}
 	received, ok := receive(n, l.refusalBuffer[:])
 	answered := received > 0
 	if answered && ok {
 		_ = n.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
-		_, err := n.Write(l.refusal)
+		_, err := n.Write(l.response())
 		ok = err == nil && !isWholeRequest(l.refusalBuffer[:received])
 	}
+	if !ok || !l.mayLinger() {
+		_ = n.Close()
+		return
+	}
+	l.lingerOn(n, answered)
+}
+
+// refuseNext accepts and refuses the next connection if one waits, and reports whether
+// one did. During a flood most connections are refused: this takes half of the system
+// calls of Accept and refuse.
+func (l *Listener) refuseNext() bool {
+	s, ok := l.Listener.(syscall.Conn)
+	if !ok || l.limits.RefusalResponse == nil {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	peer := -1
+	err = raw.Control(func(fd uintptr) {
+		if n, _, e := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC); e == nil { // #nosec G115
+			peer = n
+		}
+	})
+	if err != nil || peer < 0 {
+		return false
+	}
+	l.refuseSocket(peer)
+	return true
+}
+
+// refuseSocket does the same as refuse on a socket that does not block.
+func (l *Listener) refuseSocket(fd int) {
+	received, err := unix.Read(fd, l.refusalBuffer[:])
+	answered := received > 0
+	if answered {
+		_, err = unix.Write(fd, l.response())
+	}
+	ended := received == 0 && err == nil
+	if ended || answered && (err != nil || isWholeRequest(l.refusalBuffer[:received])) || !l.mayLinger() {
+		_ = unix.Close(fd)
+		return
+	}
+	l.lingerOn(socket{os.NewFile(uintptr(fd), "caller")}, answered) // #nosec G115
+}
+
+// socket is a socket that was accepted without the net package.
+type socket struct{ *os.File }
+
+// CloseWrite shuts down the sending side.
+func (s socket) CloseWrite() error {
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var shutdownErr error
+	err = raw.Control(func(fd uintptr) { shutdownErr = unix.Shutdown(int(fd), unix.SHUT_WR) }) // #nosec G115
+	return errors.Join(err, shutdownErr)
+}
+
+// response returns the response to refused requests.
+func (l *Listener) response() []byte {
+	if l.refusal == nil {
+		l.refusal = l.limits.RefusalResponse()
+	}
+	return l.refusal
+}
+
+// mayLinger reports whether one more connection may wait for the end of its request.
+func (l *Listener) mayLinger() bool {
 	limit := l.limits.MaxRefusing
 	if limit == 0 {
 		limit = defaultMaxRefusing
 	}
-	if !ok || l.shedding.Load() >= int64(limit) {
-		_ = n.Close()
-		return
-	}
+	return l.shedding.Load() < int64(limit)
+}
+
+// lingerOn answers the request on a connection, unless it was answered, and awaits its end
+// in the background.
+func (l *Listener) lingerOn(c refusedConn, answered bool) {
 	l.shedding.Add(1)
+	response := l.response()
 	go func() {
 		defer l.shedding.Add(-1)
-		defer func() { _ = n.Close() }()
-		refuseInBackground(n, l.refusal, answered)
+		defer func() { _ = c.Close() }()
+		refuseInBackground(c, response, answered)
 	}()
 }
 
+// refusedConn is a connection whose request is refused.
+type refusedConn interface {
+	io.ReadWriteCloser
+	SetDeadline(t time.Time) error
+}
+
 // receive reads what has arrived without waiting. It reports false once the peer has
 // closed the connection.
 func receive(n net.Conn, b []byte) (received int, ok bool) {
@@ -73,7 +154,7 @@
 
 // refuseInBackground writes the response when the request begins, unless it was
 // written, and reads what the peer still sends, for at most lingerTimeout.
-func refuseInBackground(n net.Conn, response []byte, answered bool) {
+func refuseInBackground(n refusedConn, response []byte, answered bool) {
 	if n.SetDeadline(time.Now().Add(lingerTimeout)) != nil {
 		return
 	}
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -236,7 +236,8 @@
 // serveCallers starts to serve callers and to answer readiness checks.
 func (d *Daemon) serveCallers(ctx context.Context) error {
 	s := d.settings
-	d.gate = &gate{timerDelay: d.pool.TimerDelay, link: admission.NewLink(float64(s.LinkMbps))}
+	intake := front.NewIntake(ctx, maxUnreadConns)
+	d.gate = &gate{timerDelay: d.pool.TimerDelay, requestDelay: intake.Delay, link: admission.NewLink(float64(s.LinkMbps))}
 	forwarder := forward.New(forward.Options{
 		TableStore: d.tableStore, Pool: d.pool, Sender: d.relay, Suspects: d.suspects, Journal: d.journal, Meter: d.meter,
 		Budget: retry.NewSharedBudget(retry.Allowance{
@@ -250,7 +251,7 @@
 	}
 	d.front = front.NewServer(ctx, front.Options{
 		Listener: callers, Codec: d.platform.CallerCodec, Handler: forwarder.Serve, Judge: d.judgeHead, Journal: d.journal,
-		Limits: callerLimits(s),
+		Limits: callerLimits(s), Intake: intake,
 	})
 	ready, err := conn.Listen(ctx, s.ReadinessAddress)
 	if err != nil {
--- a/edge/gate.go
+++ b/edge/gate.go
@@ -13,6 +13,8 @@
 // forward.Gate.
 type gate struct {
 	timerDelay func() time.Duration
+	// requestDelay returns the time for which requests wait to be read.
+	requestDelay func() time.Duration
 
 	mu      sync.Mutex
 	gate    admission.DaemonGate
@@ -24,7 +26,7 @@
 
 // Refusal implements forward.Gate.
 func (g *gate) Refusal(h admission.Head) *wigeonladder.Error {
-	delay := g.timerDelay()
+	delay := g.delay()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -38,7 +40,7 @@
 
 // HopelessRefusal implements forward.Gate.
 func (g *gate) HopelessRefusal(h admission.Head) *wigeonladder.Error {
-	delay := g.timerDelay()
+	delay := g.delay()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -51,24 +53,29 @@
 	return err
 }
 
+// delay returns the time for which work waits for the processor.
+func (g *gate) delay() time.Duration { return max(g.timerDelay(), g.requestDelay()) }
+
 // load returns the load of the process. It must be called with the lock held.
-func (g *gate) load(timerDelay time.Duration, now time.Time) admission.DaemonLoad {
-	return admission.DaemonLoad{TimerDelay: timerDelay, LinkUse: g.link.Use(now)}
+func (g *gate) load(delay time.Duration, now time.Time) admission.DaemonLoad {
+	return admission.DaemonLoad{Delay: delay, LinkUse: g.link.Use(now)}
 }
 
 // gateMetrics is what is published of a gate.
 type gateMetrics struct {
-	// TimerDelayMicros is the mean delay of timers in microseconds, LinkUse the part of the
-	// link's rate that requests take, Refused the number of refused calls since the start.
-	TimerDelayMicros int64   `json:"timerDelayMicros"`
-	LinkUse          float64 `json:"linkUse"`
-	Refused          int     `json:"refused"`
+	// TimerDelayMicros is the mean delay of timers, RequestDelayMicros the mean time for
+	// which requests wait to be read, both in microseconds, LinkUse the part of the link's
+	// rate that requests take, Refused the number of refused calls since the start.
+	TimerDelayMicros   int64   `json:"timerDelayMicros"`
+	RequestDelayMicros int64   `json:"requestDelayMicros"`
+	LinkUse            float64 `json:"linkUse"`
+	Refused            int     `json:"refused"`
 }
 
 // metrics returns what is published of the gate.
 func (g *gate) metrics() gateMetrics {
 	linkUse, refused := g.stats()
-	return gateMetrics{TimerDelayMicros: g.timerDelay().Microseconds(), LinkUse: linkUse, Refused: refused}
+	return gateMetrics{TimerDelayMicros: g.timerDelay().Microseconds(), RequestDelayMicros: g.requestDelay().Microseconds(), LinkUse: linkUse, Refused: refused}
 }
 
 // stats returns the use of the link and the number of calls that were refused since the
--- a/edge/observe.go
+++ b/edge/observe.go
@@ -56,7 +56,7 @@
 		d.journal.Note("", "load", "service", s.Service, "servers", s.Servers, "available", s.Available, "evacuated", s.Evacuated, "cold", s.Cold, "running", s.Running,
 			"waiting", s.Waiting, "waiting_tokens", s.WaitingTokens, "mean_wait", s.MeanWait, "wasted", s.WastedCost,
 			"first_tokens", s.FirstTokens.Count, "ratio_p10", s.FirstTokens.P10, "ratio_p50", s.FirstTokens.P50, "ratio_p90", s.FirstTokens.P90, "ratio_p99", s.FirstTokens.P99,
-			"sweep_delay", stats.SweepDelay, "timer_delay", stats.TimerDelay, "processor_wait", processorWait, "store_age", configAge, "link_use", linkUse, "gated", gated, "open", d.front.OpenCalls(), "connections", d.front.OpenConns(), "shed", d.front.ShedConns(), "daemons", d.liveDaemons())
+			"sweep_delay", stats.SweepDelay, "timer_delay", stats.TimerDelay, "request_delay", d.gate.requestDelay(), "processor_wait", processorWait, "store_age", configAge, "link_use", linkUse, "gated", gated, "open", d.front.OpenCalls(), "connections", d.front.OpenConns(), "shed", d.front.ShedConns(), "daemons", d.liveDaemons())
 	}
 }
 
--- a/front/connection.go
+++ b/front/connection.go
@@ -27,6 +27,8 @@
 	// first is the first byte of a request, until it was read from the connection.
 	first    [1]byte
 	hasFirst bool
+	// waited is the time for which the request waited to be read.
+	waited time.Duration
 }
 
 // exchange is one request with its response.
@@ -50,11 +52,26 @@
 	defer c.account.EndRequest()
 	defer c.releaseReader()
 	timeout := s.o.Limits.headerTimeout()
-	for c.awaitRequest(timeout) && c.serveRequest() {
+	for c.awaitRequest(timeout) && c.enterIntake() && c.serveRequest() {
 		timeout = s.o.Limits.IdleTimeout
 	}
 }
 
+// enterIntake waits until the request may be read. It reports false after it has refused
+// the request.
+func (c *connection) enterIntake() bool {
+	wait, ok := c.server.intake.Enter()
+	c.waited = wait
+	if ok {
+		return true
+	}
+	c.server.unreadRefused.Add(1)
+	c.conn.KeepResponse()
+	c.conn.Linger()
+	_, _ = c.conn.Write(c.server.overloadResponse)
+	return false
+}
+
 // awaitRequest waits for the first byte of a request. It reports false if the
 // connection ends before.
 func (c *connection) awaitRequest(timeout time.Duration) bool {
@@ -177,7 +194,7 @@
 		x.response.SetConnectionClose()
 		return call, err
 	}
-	call.Received = time.Now()
+	call.Received = time.Now().Add(-c.waited)
 	return call, nil
 }
 
--- a/front/server.go
+++ b/front/server.go
@@ -87,21 +87,28 @@
 	// is refused without reading the body, and returns the workspace of the call if
 	// it is known. BodyBytes is -1 if the caller states no length. Nil reads every
 	// body.
-	Judge   func(c *wigeonladder.Call, bodyBytes int) (workspace string, err *wigeonladder.Error)
+	Judge func(c *wigeonladder.Call, bodyBytes int) (workspace string, err *wigeonladder.Error)
+	// Intake orders the requests that wait to be read; nil for one without a bound.
+	Intake  *Intake
 	Journal wigeonladder.Journal
 }
 
 // Server reads the calls of callers, runs each by a Handler and writes its
 // answer.
 type Server struct {
-	o         Options
-	ctx       context.Context
-	cancel    context.CancelFunc
-	listener  *conn.Listener
-	budget    *memory.Budget
-	readers   sync.Pool
-	writers   sync.Pool
-	openCalls atomic.Int64
+	o        Options
+	ctx      context.Context
+	cancel   context.CancelFunc
+	listener *conn.Listener
+	budget   *memory.Budget
+	intake   *Intake
+	// overloadResponse refuses a request that is not parsed.
+	overloadResponse []byte
+	readers          sync.Pool
+	writers          sync.Pool
+	openCalls        atomic.Int64
+	// unreadRefused is the number of requests that the intake refused.
+	unreadRefused atomic.Int64
 	// slowCalls is the number of calls that were sent, or whose answers were read, too
 	// slowly.
 	slowCalls atomic.Int64
@@ -120,11 +127,16 @@
 // NewServer starts a server. It serves callers until Shutdown is called; the
 // end of the context cancels its calls but does not close the listener.
 func NewServer(ctx context.Context, o Options) *Server {
-	s := &Server{o: o, listener: conn.NewListener(o.Listener, conn.Limits{
-		WriteTimeout: o.Limits.WriteTimeout, MaxOpen: o.Limits.MaxConns * MaxConnsFactor,
-		MaxUnread: o.Limits.MaxUnreadConns, MaxRefusing: o.Limits.MaxConns / refusingDivisor, RefusalResponse: func() []byte { return overloadResponse(o.Codec) },
-	})}
+	s := &Server{o: o, overloadResponse: overloadResponse(o.Codec)}
 	s.ctx, s.cancel = context.WithCancel(ctx)
+	s.intake = o.Intake
+	if s.intake == nil {
+		s.intake = NewIntake(s.ctx, 0)
+	}
+	s.listener = conn.NewListener(o.Listener, conn.Limits{
+		WriteTimeout: o.Limits.WriteTimeout, MaxOpen: o.Limits.MaxConns * MaxConnsFactor,
+		MaxUnread: o.Limits.MaxUnreadConns, MaxRefusing: o.Limits.MaxConns / refusingDivisor, RefusalResponse: func() []byte { return s.overloadResponse }, Busy: s.intake.Busy,
+	})
 	limit := o.Limits.MemoryBytes
 	if limit <= 0 {
 		limit = math.MaxInt64
@@ -174,9 +186,9 @@
 // OpenConns returns the number of open connections of callers.
 func (s *Server) OpenConns() int { return s.listener.OpenConns() }
 
-// ShedConns returns the number of connections that were not accepted because of
-// a limit, since the start.
-func (s *Server) ShedConns() int { return s.listener.ShedConns() }
+// ShedConns returns the number of connections that were not accepted, or whose request
+// was refused without being parsed, because of a limit, since the start.
+func (s *Server) ShedConns() int { return s.listener.ShedConns() + int(s.unreadRefused.Load()) }
 
 // SlowCalls returns the number of calls that were refused because they were sent too
 // slowly, or whose answers were ended because they were read too slowly, since the
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -51,11 +51,18 @@
 // serve starts a server with a handler and returns it with its address. The
 // server ends with the test.
 func serve(t *testing.T, l Limits, h Handler) (*Server, string) {
+	t.Helper()
+	return serveWith(t, Options{Limits: l, Handler: h})
+}
+
+// serveWith does the same with options that contain the limits and the handler.
+func serveWith(t *testing.T, o Options) (*Server, string) {
 	t.Helper()
 	n, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
-	s := NewServer(ctx, Options{Listener: n, Limits: l, Codec: plainCodec{}, Handler: h, Journal: discardJournal{}})
+	o.Listener, o.Codec, o.Journal = n, plainCodec{}, discardJournal{}
+	s := NewServer(ctx, o)
 	t.Cleanup(func() {
 		cancel()
 		s.close()
