exchange: a large machine reads the store for its zone

Cause: the reader of a zone was the daemon with the last name, in the deployment of the report one with 0.144 of a core. While configurations came in quick succession it could not encode what it had read for 24 other daemons in time: all of them fell back to reading the store themselves, one read later.

Change: the reader is a daemon on the largest machine, but not the hub. The test fails before (a15, not a07).

--- a/exchange/feed.go
+++ b/exchange/feed.go
@@ -43,28 +43,37 @@
 	Removed  bool   `json:"d,omitempty"`
 }
 
-// reader returns the daemon of the zone that reads the store for the others: that
-// whose name comes last among this one and those that are connected, heard, and offer
-// what they read. It is nil if this daemon is the reader, or in a small zone. The hub
-// is chosen by the first name, so that no daemon does the work of both.
+// reader returns the daemon of the zone that reads the store for the others: the best one
+// by compareForReader among this one and those that are connected, heard, and offer what
+// they read, but for the hub, so that no daemon does the work of both. It is nil if this
+// daemon is the reader, or in a small zone.
 func (m *Mesh) reader(now time.Time) *peer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var last *peer
-	feeds := 0
+	best, hub := m.options.Self, m.options.Self
+	var candidates []*peer
 	for _, p := range m.peers {
 		if p.zone != m.options.Self.Zone || !p.connected || !p.feeds || !m.isHeard(p, now) {
 			continue
 		}
-		feeds++
-		if last == nil || p.name > last.name {
-			last = p
+		candidates = append(candidates, p)
+		if compareForHub(p.member(), hub) < 0 {
+			hub = p.member()
 		}
 	}
-	if feeds < feedZonePeers || last.name < m.options.Self.Name {
+	if len(candidates) < feedZonePeers {
 		return nil
 	}
-	return last
+	hasHub := len(candidates) > meshZonePeers
+	var reader *peer
+	for _, p := range candidates {
+		isHub := hasHub && p.name == hub.Name
+		bestIsHub := hasHub && best.Name == hub.Name
+		if !isHub && (bestIsHub || compareForReader(p.member(), best) < 0) {
+			reader, best = p, p.member()
+		}
+	}
+	return reader
 }
 
 // isHeard reports whether a connected daemon counts as alive: its reports are valid, or
--- a/exchange/feed_test.go
+++ b/exchange/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -120,3 +121,27 @@
 		is.True(time.Since(began) < time.Second)
 	})
 }
+
+// Guards against a small machine that reads the store for a zone and cannot tell its many
+// daemons in time, and against one that is the hub as well.
+func TestReaderIsALargeMachine(t *testing.T) {
+	is := is.New(t)
+	m := &Mesh{options: Options{Self: Member{Name: "a05", Zone: "a", MemoryMB: 144}}, peers: map[string]*peer{}, origins: map[string]origin{}}
+	now := time.Now()
+	for i := range meshZonePeers + 4 {
+		if name := fmt.Sprintf("a%02d", i); name != m.options.Self.Name {
+			m.peers[name] = &peer{name: name, zone: "a", memoryMB: 144, feeds: true, connected: true, connectedAt: now}
+		}
+	}
+	is.Equal(m.reader(now).name, "a15")
+	m.peers["a02"].memoryMB, m.peers["a07"].memoryMB, m.peers["a08"].memoryMB = 536, 536, 424
+	is.Equal(m.reader(now).name, "a07")
+	m.peers["a02"].memoryMB = 144 // a07 is the hub
+	is.Equal(m.reader(now).name, "a08")
+	m.options.Self.MemoryMB = 424 // a05 comes before a08 by name
+	is.Equal(m.reader(now).name, "a08")
+	m.peers["a08"].connected = false
+	is.True(m.reader(now) == nil)
+	m.options.Self.MemoryMB = 1000 // this daemon is the hub
+	is.Equal(m.reader(now).name, "a07")
+}
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -46,6 +46,13 @@
 	return cmp.Or(cmp.Compare(b.MemoryMB, a.MemoryMB), cmp.Compare(a.Name, b.Name))
 }
 
+// compareForReader orders daemons by how well they read the store for a zone, the best
+// first: large machines, which encode what they have read for each other daemon in time,
+// and among equal ones the last by name.
+func compareForReader(a, b Member) int {
+	return cmp.Or(cmp.Compare(b.MemoryMB, a.MemoryMB), cmp.Compare(b.Name, a.Name))
+}
+
 // HelloReply is the answer to a hello.
 type HelloReply struct {
 	// Self is the daemon that answers.
