edge: apply leaving servers first, and only the newest configuration

Cause: a read of the store had up to 25 configurations. A daemon parsed and applied each, in order, before it looked at the servers of the same read, and the daemon that reads for a zone passed all of them on.

Change: servers come first. Of the configurations of a read only the newest that can be read is parsed, applied and passed on; the versions decide, not the order, since a write may take effect late.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -96,9 +96,11 @@
 	// zones to which nothing is to be sent.
 	ConfigKey, ServersPrefix, EvacuationPrefix string
 	ParseConfig                                func([]byte) (route.Document, error)
-	ParseServer                                func(inventory.Item) (inventory.Entry, error)
-	CallerCodec                                front.Codec
-	ServerCodec                                backend.Codec
+	// ConfigVersion reads only the version of a configuration.
+	ConfigVersion func([]byte) (int64, error)
+	ParseServer   func(inventory.Item) (inventory.Entry, error)
+	CallerCodec   front.Codec
+	ServerCodec   backend.Codec
 	// ReadyPath is the path on which the platform checks readiness.
 	ReadyPath string
 }
--- a/edge/store.go
+++ b/edge/store.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -58,12 +60,13 @@
 }
 
 // applyItems applies changes of items of the store and returns those that told
-// something new.
+// something new. Servers that leave come before the configuration, which takes longer to
+// apply.
 func (d *Daemon) applyItems(items []inventory.Item) []inventory.Item {
 	x := d.sortItems(items)
-	d.applyConfigs(x.configs)
-	changes := append(x.configs, d.zoneList.Apply(x.zones)...)
-	return append(changes, d.serverList.Apply(x.servers)...)
+	changes := d.zoneList.Apply(x.zones)
+	changes = append(changes, d.serverList.Apply(x.servers)...)
+	return append(changes, d.applyConfigs(x.configs)...)
 }
 
 // storeItems are items of the store by their kind.
@@ -96,26 +99,55 @@
 	return time.Duration(watchPauseFraction * float64(shortest))
 }
 
-// applyConfigs puts configurations in force in their order.
-func (d *Daemon) applyConfigs(items []inventory.Item) {
+// applyConfigs puts the newest of the configurations in force, and returns it if it is
+// newer than the one that was. The others are superseded: they are not even parsed, and
+// daemons that follow the store over this one do not get them.
+func (d *Daemon) applyConfigs(items []inventory.Item) []inventory.Item {
+	for _, i := range d.newestConfigsFirst(items) {
+		if d.applyConfig(i) {
+			return []inventory.Item{i}
+		}
+	}
+	return nil
+}
+
+// newestConfigsFirst returns the configurations that are newer than the one in force by
+// their versions. A write may take effect after a later one, so that their order in the
+// store is not that of their versions.
+func (d *Daemon) newestConfigsFirst(items []inventory.Item) []inventory.Item {
+	versions := make(map[int64]int64, len(items))
+	var newer []inventory.Item
 	for _, i := range items {
-		d.applyConfig(i)
+		v, err := d.platform.ConfigVersion(i.Value)
+		if err != nil {
+			d.journal.Note("", "config_unreadable", "revision", i.Revision, "error", err)
+			continue
+		}
+		if t := d.tableStore.Table(); t == nil || v > t.Version() {
+			versions[i.Revision] = v
+			newer = append(newer, i)
+		}
 	}
+	slices.SortStableFunc(newer, func(a, b inventory.Item) int {
+		return cmp.Compare(versions[b.Revision], versions[a.Revision])
+	})
+	return newer
 }
 
-// applyConfig puts the configuration of a store item in force, unless it cannot
-// be read or is not accepted.
-func (d *Daemon) applyConfig(i inventory.Item) {
+// applyConfig puts the configuration of a store item in force, and reports whether it did:
+// not if it cannot be read or is not accepted.
+func (d *Daemon) applyConfig(i inventory.Item) bool {
 	doc, err := d.platform.ParseConfig(i.Value)
 	if err != nil {
 		d.journal.Note("", "config_unreadable", "revision", i.Revision, "error", err)
-		return
+		return false
 	}
 	if !d.tableStore.Accept(doc) {
-		return
+		return false
 	}
 	d.pool.SetServices(doc.Services)
 	d.window.SetCapacity(doc.Limits.TokensPerSecond)
 	d.journal.Note("", "config_accepted", "version", doc.Version, "revision", i.Revision,
 		"routes", len(doc.Routes), "workspaces", len(doc.Workspaces))
+	return true
 }
