forward, edge: send nothing by news of servers that is too old

Cause: the last check before a call is sent asks what the daemon knows, and not since when. A daemon that lacks processor time follows the store late: in a reproduction what it knew was up to 3.7 s old.

Change: while work waits for the processor, a call is refused as not run once what the daemon knows is older than the time after which leaving servers get no more calls, less 0.25 s for the way; another daemon takes it at once. While the store does not answer, the known servers stay in use.

TestLateCallsAreNotSent/outdated and TestOutdatedDaemon fail before: there was no such check.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -245,7 +245,7 @@
 		Budget: retry.NewSharedBudget(retry.Allowance{
 			Ratio: float64(s.RetryBudget.Ratio), Slack: float64(s.RetryBudget.Slack), Period: time.Duration(s.RetryBudget.Period),
 		}, d.knownDaemons),
-		Daemons: d.knownDaemons, StopsAt: d.stopTime, Gate: d.gate,
+		Daemons: d.knownDaemons, StopsAt: d.stopTime, Gate: d.gate, Outdated: d.outdated,
 	})
 	callers, err := conn.ListenWithoutKeepAlive(ctx, s.CallerAddress)
 	if err != nil {
--- a/edge/store.go
+++ b/edge/store.go
@@ -151,3 +151,20 @@
 		"routes", len(doc.Routes), "workspaces", len(doc.Workspaces))
 	return true
 }
+
+const (
+	// leaveMargin is subtracted from the time after which a server that leaves gets no
+	// more calls: a call takes it to reach its server.
+	leaveMargin = 250 * time.Millisecond
+	// outdatedDelay is the wait for the processor from which a daemon may lag behind the
+	// store although the store answers.
+	outdatedDelay = 100 * time.Millisecond
+)
+
+// outdated reports whether servers may have left for longer than promised without this
+// daemon knowing it, because it lacks the processor time to follow the store. While the
+// store does not answer, the servers that are known stay in use.
+func (d *Daemon) outdated() bool {
+	age, _ := d.tableStore.ConfirmationAge()
+	return age > time.Duration(d.settings.MaxLeaveDelay)-leaveMargin && d.gate.delay() >= outdatedDelay
+}
--- a/edge/store_test.go
+++ b/edge/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -74,3 +75,27 @@
 	is.Equal(len(d.applyItems([]inventory.Item{item("106", 6), item("107", 7)})), 0)
 	is.Equal(d.tableStore.Table().Version(), int64(107))
 }
+
+// Guards against calls to servers that have left (DRAIN), sent by a daemon that lacks the
+// processor time to read so, and against a daemon that stops serving because the store is
+// away.
+func TestOutdatedDaemon(t *testing.T) {
+	is := is.New(t)
+	d, _ := storeFollower(t, func() {})
+	d.settings.MaxLeaveDelay = 3e9
+	delay := time.Duration(0)
+	d.gate = &gate{timerDelay: func() time.Duration { return delay }, requestDelay: func() time.Duration { return 0 }}
+	for _, x := range []struct {
+		age, delay time.Duration
+		outdated   bool
+	}{
+		{time.Second, time.Second, false},
+		{2900 * time.Millisecond, outdatedDelay, true},
+		{time.Minute, 0, false},
+	} {
+		d.tableStore = route.NewTableStore(func() time.Duration { return x.age }, 0)
+		d.tableStore.Confirm(0)
+		delay = x.delay
+		is.Equal(d.outdated(), x.outdated)
+	}
+}
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -92,7 +92,7 @@
 	case err == nil:
 		return place.Completed
 	case err.Code == wigeonladder.CodeContractLate, err.Code == wigeonladder.CodeSuspect, err.Code == wigeonladder.CodeWaitTooLong,
-		err.Code == wigeonladder.CodeCallerGone, err.Code == wigeonladder.CodeCallerLost:
+		err.Code == wigeonladder.CodeCallerGone, err.Code == wigeonladder.CodeCallerLost, err.Code == wigeonladder.CodeStale:
 		return place.Inconclusive
 	case err.Code == wigeonladder.CodeRefused:
 		return place.Declined
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -17,9 +17,9 @@
 	// because this daemon has no usable configuration, no backend server or no
 	// time left, or is stopping.
 	unavailableRetryDelay = 500 * time.Millisecond
-	// stoppingRetryDelay is the retry delay of a call that is refused because this
-	// daemon is stopping; other daemons take it at once.
-	stoppingRetryDelay = 100 * time.Millisecond
+	// otherDaemonDelay is the retry delay of a call that is refused because this daemon is
+	// stopping, or late; other daemons take it at once.
+	otherDaemonDelay = 100 * time.Millisecond
 	// extraSends is the number of times that a call may be sent in addition to
 	// the attempts of its route, after backend servers that did not run it.
 	extraSends = 2
@@ -53,6 +53,9 @@
 	StopsAt func() time.Time
 	// Gate decides which calls this daemon can serve in time; nil admits all.
 	Gate Gate
+	// Outdated reports whether servers may have left for longer than promised without
+	// this daemon knowing it; nil for never.
+	Outdated func() bool
 	// Daemons returns the number of daemons that share the connections of a
 	// backend server; nil for one.
 	Daemons func() int
@@ -203,7 +206,7 @@
 		return nil
 	}
 	return wigeonladder.Errorf(wigeonladder.CodeDraining, r.call.ID, "the daemon stops in %v, before the call would end", time.Until(stopsAt).Round(time.Millisecond)).
-		WithRetryDelay(stoppingRetryDelay)
+		WithRetryDelay(otherDaemonDelay)
 }
 
 // timeout returns the time limit of the whole answer: that of the caller, but
@@ -336,6 +339,9 @@
 	if err := r.checkStop(); err != nil {
 		return err
 	}
+	if outdated := r.forwarder.options.Outdated; outdated != nil && outdated() {
+		return wigeonladder.Errorf(wigeonladder.CodeStale, i.ID, "the server may have left").WithRetryDelay(otherDaemonDelay)
+	}
 	if !r.forwarder.options.Pool.Allowed(i) {
 		return wigeonladder.Errorf(wigeonladder.CodeContractLate, i.ID, "the backend server takes no calls any more")
 	}
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -278,10 +278,12 @@
 	}{
 		"caller gone":     {true, 0, wigeonladder.CodeCallerGone},
 		"deadline passed": {false, 3 * time.Second, wigeonladder.CodeWaitTooLong},
+		"outdated":        {false, time.Second, wigeonladder.CodeStale},
 	} {
 		t.Run(name, func(t *testing.T) {
 			bubble(t, nil, func(t *testing.T, r *rig) {
 				is := is.New(t)
+				r.options.Outdated = func() bool { return name == "outdated" }
 				call := &wigeonladder.Call{ID: "id", Method: "POST", Host: "h", Path: "/safe/", Received: time.Now()}
 				run := &callRun{forwarder: r.Forwarder, call: call, reply: &outcome{gone: x.gone}}
 				is.True(run.admit() == nil)
