stream, forward: streams go on at the software version that began them

Cause: the version of a server's software was not read. A stream that broke off went on at any server, within an answer and when its caller took it up; Resumes was not read.

Change: the daemon that relays the first event notes the version, and copies it to three others while the service has several versions. A take-up goes on at this version only. If it is not known, and it is not certain that the service had one version only, or no server of it is left, the call is refused as not run with 421 and the new code 210: it is to begin anew.

The tests of edge fail with the streams switched off (a take-up at v1 of a stream of v2; 200 for 421).

--- a/call.go
+++ b/call.go
@@ -25,6 +25,9 @@
 	// LastEventID is the id of the last event that the caller already has;
 	// empty if the call does not resume a stream.
 	LastEventID string
+	// Resumes is the id of the call that brought the first event of the stream that the
+	// call takes up, as stated by the caller; empty if it states none.
+	Resumes string
 	// Received is the time at which the request had been read completely.
 	Received time.Time
 }
@@ -84,6 +87,8 @@
 	Address string
 	Zone    string
 	Slots   int
+	// Version is the version of the server's software.
+	Version string
 	// Leaving is true once the server accepts no new work.
 	Leaving bool
 }
--- a/code.go
+++ b/code.go
@@ -49,8 +49,9 @@
 	CodeNoServer     Code = 205 // the service has no live backend server
 	CodeContractLate Code = 206 // the contract was used too late
 	CodeOverload     Code = 207 // the call waited, or would wait, too long for a backend server
-	CodeStale        Code = 208 // the configuration is too old to trust keys
+	CodeStale        Code = 208 // what is known of the store is too old to trust keys, or servers
 	CodeShareUsed    Code = 209 // the workspace has used its share, and nothing is spare
+	CodeStreamLost   Code = 210 // the stream cannot go on; it can only begin anew
 
 	CodeConnect    Code = 301 // no connection to the backend server; nothing was sent
 	CodeRefused    Code = 302 // the backend server refused before running
@@ -103,6 +104,7 @@
 	CodeOverload:        {"overload", NotRun, 503},
 	CodeStale:           {"stale", NotRun, 503},
 	CodeShareUsed:       {"share_used", NotRun, 429},
+	CodeStreamLost:      {"stream_lost", NotRun, 421},
 	CodeConnect:         {"connect", NotRun, 502},
 	CodeRefused:         {"refused", NotRun, 503},
 	CodeBroken:          {"broken", MayHaveRun, 502},
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/wigeonladder/wigeonladder/retry"
 	"github.com/wigeonladder/wigeonladder/route"
 	"github.com/wigeonladder/wigeonladder/setting"
+	"github.com/wigeonladder/wigeonladder/stream"
 )
 
 const (
@@ -136,6 +137,7 @@
 	front            *front.Server
 	gate             *gate
 	processor        *processor
+	streams          *streams
 	seeds            atomic.Pointer[[]string]
 	leaving          atomic.Bool
 	// stopsAt is the time at which a stopping daemon ends the calls that still run; nil
@@ -184,7 +186,12 @@
 		Name: s.Name, Zone: s.Zone, Shares: d.counters, Window: d.window, LiveDaemons: d.liveDaemons, Members: d.otherMembers, KnownMembers: d.knownMembers,
 		Cold: place.ColdBound{Overage: float64(s.Cold.Overage), Slack: float64(s.Cold.Slack)},
 	})
-	d.serverList = inventory.NewServerList(d.pool, d.platform.ParseServer, d.journal)
+	d.streams = &streams{
+		origins: stream.NewOrigins(), versions: stream.NewVersions(),
+		ask:      func(ctx context.Context, k stream.Key) (stream.Origin, bool) { return d.mesh.Load().FindOrigin(ctx, k) },
+		storeAge: func() time.Duration { age, _ := d.tableStore.ConfirmationAge(); return age },
+	}
+	d.serverList = inventory.NewServerList(versionedPool{d.pool, d.streams}, d.platform.ParseServer, d.journal)
 	d.zoneList = inventory.NewZoneList(d.pool, d.platform.EvacuationPrefix, d.journal)
 	peers, err := conn.Listen(ctx, s.PeerAddress)
 	if err != nil {
@@ -195,6 +202,7 @@
 		Self:     exchange.Member{Name: s.Name, Zone: s.Zone, Address: s.PeerAddress, Incarnation: incarnation, MemoryMB: int64(s.MemoryMB)},
 		Listener: peers, Dial: dial, Seeds: func() []string { return *d.seeds.Load() },
 		Export: d.exportReport, Import: d.importReport, Known: d.known, Learn: d.learn, Feed: feed, StoreContact: contact.Unbroken, Journal: d.journal,
+		ExportOrigins: d.streams.export, ImportOrigins: d.streams.origins.Import, FindOrigin: d.streams.origins.Find,
 	}))
 	d.followStore(ctx, feed, contact)
 	if err := d.serveCallers(ctx); err != nil {
@@ -245,7 +253,7 @@
 		Budget: retry.NewSharedBudget(retry.Allowance{
 			Ratio: float64(s.RetryBudget.Ratio), Slack: float64(s.RetryBudget.Slack), Period: time.Duration(s.RetryBudget.Period),
 		}, d.knownDaemons),
-		Daemons: d.knownDaemons, StopsAt: d.stopTime, Gate: d.gate, Outdated: d.outdated,
+		Daemons: d.knownDaemons, StopsAt: d.stopTime, Gate: d.gate, Outdated: d.outdated, Streams: d.streams,
 	})
 	callers, err := conn.ListenWithoutKeepAlive(ctx, s.CallerAddress)
 	if err != nil {
--- a/edge/operator.go
+++ b/edge/operator.go
@@ -86,6 +86,7 @@
 	vars.Set("reportsSent", expvar.Func(func() any { n, _ := d.mesh.Load().SentTotals(); return n }))
 	vars.Set("reportBytesSent", expvar.Func(func() any { _, n := d.mesh.Load().SentTotals(); return n }))
 	vars.Set("evacuatedZones", expvar.Func(func() any { return d.pool.EvacuatedZones() }))
+	vars.Set("streams", expvar.Func(func() any { return d.streams.origins.Len() }))
 	vars.Set("ready", expvar.Func(func() any { return d.Ready() }))
 	s := &fasthttp.Server{
 		NoDefaultServerHeader: true,
--- a/edge/report.go
+++ b/edge/report.go
@@ -58,12 +58,16 @@
 
 // known returns what a daemon that connects has to know before it takes calls.
 func (d *Daemon) known() exchange.Report {
-	return exchange.Report{Suspicions: d.suspects.Export(), Place: place.Report{Limits: d.pool.Limits()}}
+	versions := d.streams.versions.Export()
+	return exchange.Report{Suspicions: d.suspects.Export(), Place: place.Report{Limits: d.pool.Limits()}, Versions: &versions}
 }
 
 // learn applies what another daemon knows.
 func (d *Daemon) learn(r exchange.Report) {
 	d.suspects.Import(r.Suspicions)
 	d.pool.ImportLimits(r.Place.Limits)
+	if r.Versions != nil {
+		d.streams.versions.Import(*r.Versions)
+	}
 	d.learned.Store(true)
 }
--- a/edge/store.go
+++ b/edge/store.go
@@ -57,6 +57,7 @@
 	d.applyConfigs(x.configs)
 	d.zoneList.Reset(x.zones)
 	d.serverList.Reset(x.servers)
+	d.streams.versions.Listed()
 }
 
 // applyItems applies changes of items of the store and returns those that told
--- a/exchange/mesh.go
+++ b/exchange/mesh.go
@@ -11,6 +11,7 @@
 
 	"github.com/wigeonladder/wigeonladder"
 	"github.com/wigeonladder/wigeonladder/inventory"
+	"github.com/wigeonladder/wigeonladder/stream"
 )
 
 const (
@@ -64,6 +65,11 @@
 	// daemon returned. Both may be nil.
 	Known func() Report
 	Learn func(r Report)
+	// ExportOrigins returns the origins of streams that are to be passed on,
+	// ImportOrigins keeps those of other daemons, and FindOrigin finds one; nil for none.
+	ExportOrigins func() []stream.Record
+	ImportOrigins func([]stream.Record)
+	FindOrigin    func(stream.Key) (stream.Origin, bool)
 	// Feed offers what this daemon reads from the store to the daemons of its zone;
 	// nil for none.
 	Feed *inventory.Feed
@@ -189,6 +195,10 @@
 		return m.handleWatch(ctx, *q.Params)
 	case methodContact:
 		return m.handleContact()
+	case methodOrigins:
+		return m.handleOrigins(*q.Params)
+	case methodFind:
+		return m.handleFind(*q.Params)
 	case methodReport, methodRelay, methodRelayed, methodPass:
 		from, l, err := unpack(*q.Params)
 		if err != nil {
@@ -287,6 +297,7 @@
 			m.broadcast(r, sequence)
 			sequence++
 		}
+		m.sendOrigins()
 		if m.hasHub() {
 			m.passReports()
 		}
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -7,6 +7,7 @@
 	"github.com/wigeonladder/wigeonladder"
 	"github.com/wigeonladder/wigeonladder/fair"
 	"github.com/wigeonladder/wigeonladder/place"
+	"github.com/wigeonladder/wigeonladder/stream"
 )
 
 // Methods of the protocol between daemons.
@@ -25,6 +26,10 @@
 	methodWatch = "watch"
 	// methodContact asks a daemon for how long the store has answered it.
 	methodContact = "contact"
+	// methodOrigins carries the origins of streams to a daemon that keeps them,
+	// methodFind asks it for one.
+	methodOrigins = "origins"
+	methodFind    = "find"
 )
 
 // Member identifies one daemon.
@@ -102,4 +107,7 @@
 	// Totals are the totals of the workspaces whose totals changed.
 	Totals     []fair.WorkspaceTotals   `json:"t,omitempty"`
 	Suspicions []wigeonladder.Suspicion `json:"s,omitempty"`
+	// Versions tells which software versions servers have had; only in the answer to a
+	// hello.
+	Versions *stream.Report `json:"v,omitempty"`
 }
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -149,6 +149,8 @@
 		// The caller gets this only if the daemon is stopping; otherwise it has
 		// disconnected.
 		return wigeonladder.Errorf(wigeonladder.CodeDraining, err.Place, "%s", err.Detail).WithRetryDelay(unavailableRetryDelay)
+	case err.Code == wigeonladder.CodeStreamLost:
+		return err.WithRetryDelay(streamLostRetryDelay)
 	case err.Code.Info().Status >= 500 && err.RetryDelay == 0 && err.RetryAfter == 0:
 		return wigeonladder.Errorf(wigeonladder.CodeNoServer, err.Place, "%v", err).WithRetryDelay(unavailableRetryDelay)
 	}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -53,6 +53,9 @@
 	StopsAt func() time.Time
 	// Gate decides which calls this daemon can serve in time; nil admits all.
 	Gate Gate
+	// Streams tells at which software versions streams began; nil if all versions fit
+	// together.
+	Streams wigeonladder.StreamOrigins
 	// Outdated reports whether servers may have left for longer than promised without
 	// this daemon knowing it; nil for never.
 	Outdated func() bool
@@ -93,7 +96,9 @@
 	if err == nil {
 		ctx, cancel := context.WithDeadline(ctx, r.deadline)
 		defer cancel()
-		err = r.sendWithRetries(ctx)
+		if err = r.takeUp(ctx); err == nil {
+			err = r.sendWithRetries(ctx)
+		}
 	}
 	if err != nil {
 		err = r.refuse(ctx, err)
@@ -245,7 +250,7 @@
 	r.note("placed", "server", lease.Instance.ID, "zone", lease.Instance.Zone, "version", r.match.Version,
 		"waited", time.Since(r.call.Received), "expected", lease.ExpectedFirstToken, "read", lease.UncachedTokens, "held", lease.CachedTokens,
 		"workspace", r.match.Workspace, "share", lease.Standing, "cost", r.call.Prompt.Cost(), "unavailable", lease.Unavailable,
-		"isolated", r.job.IsolationKey != 0)
+		"isolated", r.job.IsolationKey != 0, "software", lease.Instance.Version, "after", r.lastEventID)
 	lease.MarkSent()
 	r.sends++
 	r.began = false
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -129,6 +129,7 @@
 		return err
 	}
 	if !r.headSent {
+		r.beginStreamAt(l)
 		if err := r.beginStream(p); err != nil {
 			return err
 		}
--- a/interfaces.go
+++ b/interfaces.go
@@ -236,6 +236,27 @@
 	Run(ctx context.Context, r Request, s Sink) error
 }
 
+// StreamOrigin is the service, and the version of its software, at which a stream began.
+type StreamOrigin struct {
+	Service string `json:"s"`
+	Version string `json:"v"`
+}
+
+// StreamOrigins tells at which version each stream began. It must be safe for concurrent
+// use.
+type StreamOrigins interface {
+	// Begin records that the call with an id began a stream at a backend server. It is
+	// called before the first event is sent to the caller.
+	Begin(workspace, callID string, o StreamOrigin, server string)
+	// Find returns the origin of the stream that the call with an id began, at any
+	// daemon. It may ask other daemons. The origin is known but has no version if the
+	// stream may have begun at one of several.
+	Find(ctx context.Context, workspace, callID string) (o StreamOrigin, known bool)
+	// SingleVersion returns the version of a service if it is certain that its servers
+	// have had no other one for the given time.
+	SingleVersion(service string, during time.Duration) (version string, ok bool)
+}
+
 // Journal records decisions, for the log and for operators who ask why.
 type Journal interface {
 	// Note records an event of a request; request is its ID, or empty for an
--- a/inventory/server_list.go
+++ b/inventory/server_list.go
@@ -114,7 +114,7 @@
 	isNew := !known || old != s
 	if isNew {
 		l.journal.Note("", "server_changed", "server", s.ID, "service", s.Service, "zone", s.Zone,
-			"address", s.Address, "leaving", s.Leaving, "born", s.StartUnixMs, "revision", i.Revision)
+			"address", s.Address, "leaving", s.Leaving, "software", s.Version, "born", s.StartUnixMs, "revision", i.Revision)
 		l.pool.Put(s)
 	}
 	return isNew || isCold || t != nil
--- a/place/availability.go
+++ b/place/availability.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -271,7 +272,10 @@
 
 // noServerError returns the refusal of a job for which no server takes calls. Its
 // retry delay is the shortest time after which one does.
-func (p *Pool) noServerError(g *serviceState, now time.Time) *wigeonladder.Error {
+func (p *Pool) noServerError(g *serviceState, j *Job, now time.Time) *wigeonladder.Error {
+	if j.Version != "" {
+		return wigeonladder.Errorf(wigeonladder.CodeStreamLost, g.name, "no backend server of version %q takes the rest of the stream", j.Version)
+	}
 	left, known := g.timeLeft(now)
 	if !known {
 		left = retryDelayMax
@@ -283,13 +287,22 @@
 // refuseUnplaceable refuses the waiting jobs for which no server takes calls before
 // their waits end.
 func (p *Pool) refuseUnplaceable(g *serviceState, now time.Time) {
-	left, known := g.timeLeft(now)
-	if g.waiting == 0 || known && left <= 0 {
+	if g.waiting == 0 {
 		return
 	}
+	left, known := g.timeLeft(now)
 	var unplaceable []*Job
 	for _, q := range g.queues {
 		for _, j := range q {
+			if j.Version != "" {
+				if !g.hasServerFor(j, now) {
+					unplaceable = append(unplaceable, j)
+				}
+				continue
+			}
+			if known && left <= 0 {
+				continue
+			}
 			if !known || now.Add(left).After(p.waitUntil(g, j)) {
 				unplaceable = append(unplaceable, j)
 			}
@@ -298,6 +311,11 @@
 	for _, j := range unplaceable {
 		p.dequeue(g, j)
 		p.recordThrottled(g, j)
-		j.placed <- placement{err: p.noServerError(g, now)}
+		j.placed <- placement{err: p.noServerError(g, j, now)}
 	}
 }
+
+// hasServerFor reports whether a server takes calls that may run a job.
+func (g *serviceState) hasServerFor(j *Job, now time.Time) bool {
+	return slices.ContainsFunc(g.order, func(s *server) bool { return s.available(now) && j.accepts(s) })
+}
--- a/place/choose.go
+++ b/place/choose.go
@@ -57,7 +57,7 @@
 	}
 	for _, s := range g.order {
 		// What a server has cached is looked up only if it can still be the best.
-		if best.server != nil && p.minRank(s) > best.rank || !s.available(now) || j.ExcludedServers[s.instance.ID] {
+		if best.server != nil && p.minRank(s) > best.rank || !s.available(now) || !j.accepts(s) {
 			continue
 		}
 		if o := p.evaluate(s, j, preferred, now); best.server == nil || o.isBefore(best) {
@@ -78,7 +78,7 @@
 	var weight uint64
 	var failing bool
 	for _, s := range g.order {
-		if !s.available(now) || j.ExcludedServers[s.instance.ID] {
+		if !s.available(now) || !j.accepts(s) {
 			continue
 		}
 		w, f := mix(j.IsolationKey^s.hash), s.currentFailureRate(now) > isolationMaxFailureRate
--- a/place/dump.go
+++ b/place/dump.go
@@ -12,6 +12,8 @@
 	Server  string `json:"server"`
 	Zone    string `json:"zone"`
 	Leaving bool   `json:"leaving,omitempty"`
+	// Version is the version of the server's software.
+	Version string `json:"version,omitempty"`
 	// Running is the number of requests that this daemon runs on the server,
 	// Total the number that all daemons run there.
 	Running int `json:"running"`
@@ -57,7 +59,7 @@
 		for _, s := range g.servers {
 			l := s.total()
 			r := ServerDump{
-				Service: g.name, Server: s.instance.ID, Zone: s.instance.Zone, Leaving: s.instance.Leaving,
+				Service: g.name, Server: s.instance.ID, Zone: s.instance.Zone, Leaving: s.instance.Leaving, Version: s.instance.Version,
 				Running: s.own.running, Total: l.running, UnreadTokens: l.unreadTokens, LatencyRatio: s.latencyRatio,
 				FailureRate: s.currentFailureRate(now), Blocked: now.Before(s.blockedUntil), Waiting: g.waiting,
 				Unavailable: s.occupancy(now).String(),
--- a/place/job.go
+++ b/place/job.go
@@ -23,6 +23,8 @@
 	IsolationKey uint64
 	// ExcludedServers contains the servers that have failed the call before.
 	ExcludedServers map[string]bool
+	// Version is the software version of the servers that may run the job; empty for any.
+	Version string
 
 	chain promptChain
 	// placed receives what became of a job that waited.
@@ -47,6 +49,11 @@
 	return j.TargetLatency > 0 && now.Add(need).Sub(j.ArrivedAt) > j.TargetLatency
 }
 
+// accepts reports whether the job may run on a server, if that takes calls.
+func (j *Job) accepts(s *server) bool {
+	return !j.ExcludedServers[s.instance.ID] && (j.Version == "" || j.Version == s.instance.Version)
+}
+
 // memoryTokens returns the number of tokens that the job occupies in the memory of an
 // engine.
 func (j *Job) memoryTokens() int { return j.Prompt.Tokens + j.Prompt.MaxOutputTokens }
--- a/place/pool.go
+++ b/place/pool.go
@@ -226,7 +226,7 @@
 		return false
 	}
 	s := g.servers[i.ID]
-	return s != nil && s.instance.SameStart(i) && s.forbidden(time.Now()) == Available
+	return s != nil && s.instance.SameStart(i) && s.instance.Version == i.Version && s.forbidden(time.Now()) == Available
 }
 
 // Acquire waits until a call may be sent and returns its lease. An error means
--- a/place/preferred.go
+++ b/place/preferred.go
@@ -35,7 +35,7 @@
 	}
 	local := j.chain.zoneLocal()
 	for _, s := range g.order {
-		if local && s.instance.Zone != p.options.Zone || !s.available(now) || j.ExcludedServers[s.instance.ID] {
+		if local && s.instance.Zone != p.options.Zone || !s.available(now) || !j.accepts(s) {
 			continue
 		}
 		h.insert(s, mix(key^s.hash))
--- a/place/queue.go
+++ b/place/queue.go
@@ -136,7 +136,7 @@
 	var lateCandidate *candidate
 	for _, j := range q[:min(len(q), maxScannedJobs)] {
 		p.reassign(g, j, now)
-		if !g.has(j.assigned) || !j.assigned.available(now) || !p.hasRoom(g, j.assigned, j, standing) {
+		if !g.has(j.assigned) || !j.assigned.available(now) || !j.accepts(j.assigned) || !p.hasRoom(g, j.assigned, j, standing) {
 			continue
 		}
 		r := p.evaluate(j.assigned, j, preferredSet{}, now)
@@ -158,7 +158,7 @@
 // waited for half of its target latency or its server takes no calls. It does
 // so at most once in reassignPeriod.
 func (p *Pool) reassign(g *serviceState, j *Job, now time.Time) {
-	usable := j.assigned.available(now) && g.has(j.assigned)
+	usable := j.assigned.available(now) && g.has(j.assigned) && j.accepts(j.assigned)
 	if usable && now.Sub(j.ArrivedAt) < j.TargetLatency/2 || now.Sub(j.lastReassigned) < reassignPeriod {
 		return
 	}
@@ -235,7 +235,7 @@
 // or nil if it may wait.
 func (p *Pool) refusal(g *serviceState, j *Job, best *candidate, now time.Time) *wigeonladder.Error {
 	if best == nil {
-		return p.noServerError(g, now)
+		return p.noServerError(g, j, now)
 	}
 	// The prompts that wait here for the best server are read before this job.
 	// After that there is room once the server's expected wait falls below the
--- a/route/table.go
+++ b/route/table.go
@@ -82,14 +82,24 @@
 		}
 		m.Workspace = w.Name
 	}
-	name := r.pickService(c.ID)
-	m.Service, ok = t.services[name]
-	if !ok {
-		m.Service = Service{Name: name}
-	}
+	m.Service = t.serviceNamed(r.pickService(c.ID))
 	return m, nil
 }
 
+// WithService returns a match with another service of its route.
+func (t *Table) WithService(m Match, name string) Match {
+	m.Service = t.serviceNamed(name)
+	return m
+}
+
+// serviceNamed returns the service with a name, also if the document does not describe it.
+func (t *Table) serviceNamed(name string) Service {
+	if s, ok := t.services[name]; ok {
+		return s
+	}
+	return Service{Name: name}
+}
+
 // route returns the route of a host with the longest prefix of the path.
 func (t *Table) route(host, path string) (Route, bool) {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.Contains(host[i:], "]") {
