backend: only status lines of HTTP/1.0 and 1.1 with 100 to 599 are answers

HTTP/0.9 and 2.0 passed as well.

Such heads now count as bytes of unknown origin, as do lengths that are no plain number and transfer encodings other than chunked: the caller gets 502. Eight of the twelve new cases of TestContradictoryHeadsAreBelievedInNothing fail before.

--- a/backend/head.go
+++ b/backend/head.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"errors"
 	"io"
+	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -100,12 +102,26 @@
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
 
+// httpVersions are the versions of HTTP that servers may answer in.
+var httpVersions = [][]byte{[]byte("HTTP/1.1 "), []byte("HTTP/1.0 ")}
+
+// maxStatus is the largest status of an answer. Others are not in the protocol, and the
+// HTTP library takes a status of 0 for 200.
+const maxStatus = 599
+
 // checkStatusLine checks the first line of a head.
 func checkStatusLine(line []byte) error {
 	rest := line[min(len(line), len(statusLineShape)):]
 	if len(line) < len(statusLineShape) || len(rest) > 0 && rest[0] != ' ' {
 		return strayBytesError("status line %.40q", line)
 	}
+	if !slices.ContainsFunc(httpVersions, func(v []byte) bool { return bytes.HasPrefix(line, v) }) {
+		return strayBytesError("version in status line %.40q", line)
+	}
+	status, err := strconv.Atoi(string(line[len(statusLineShape)-3 : len(statusLineShape)]))
+	if err != nil || status < fasthttp.StatusContinue || status > maxStatus || status == fasthttp.StatusSwitchingProtocols {
+		return strayBytesError("status in status line %.40q", line)
+	}
 	return checkText(rest)
 }
 
@@ -117,8 +133,16 @@
 		return strayBytesError("header line %.40q", line)
 	}
 	switch {
-	case bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)), bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)):
+	case bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)):
 		c.framings++
+		if _, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 63); err != nil {
+			return strayBytesError("length %.40q", value)
+		}
+	case bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)):
+		c.framings++
+		if !bytes.EqualFold(bytes.TrimSpace(value), []byte("chunked")) {
+			return strayBytesError("transfer encoding %.40q", value)
+		}
 	case bytes.EqualFold(name, []byte(fasthttp.HeaderContentType)):
 		c.types++
 	}
--- a/backend/head_test.go
+++ b/backend/head_test.go
@@ -58,6 +58,18 @@
 	"two marks":            "HTTP/1.1 503 S\r\nX-Attempt-Id: r.1\r\nX-Not-Run: true\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n",
 	"two lengths":          "HTTP/1.1 200 OK\r\nX-Attempt-Id: r.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxy",
 	"length and chunks":    "HTTP/1.1 200 OK\r\nX-Attempt-Id: r.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	"status 000":           "HTTP/1.1 000 E\r\nX-Attempt-Id: r.1\r\nContent-Length: 0\r\n\r\n",
+	"status 099":           "HTTP/1.1 099 E\r\nX-Attempt-Id: r.1\r\nContent-Length: 0\r\n\r\n",
+	"status 101":           "HTTP/1.1 101 Switching Protocols\r\nX-Attempt-Id: r.1\r\n\r\n",
+	"status 600":           "HTTP/1.1 600 E\r\nX-Attempt-Id: r.1\r\nContent-Length: 0\r\n\r\n",
+	"status 612":           "HTTP/1.1 612 E\r\nX-Attempt-Id: r.1\r\nContent-Length: 0\r\n\r\n",
+	"status 999":           "HTTP/1.1 999 E\r\nX-Attempt-Id: r.1\r\nContent-Length: 0\r\n\r\n",
+	"HTTP 0.9":             "HTTP/0.9 200 OK\r\nX-Attempt-Id: r.1\r\nContent-Length: 0\r\n\r\n",
+	"HTTP 2.0":             "HTTP/2.0 200 OK\r\nX-Attempt-Id: r.1\r\nContent-Length: 0\r\n\r\n",
+	"compressed chunks":    "HTTP/1.1 200 OK\r\nX-Attempt-Id: r.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+	"unknown encoding":     "HTTP/1.1 200 OK\r\nX-Attempt-Id: r.1\r\nTransfer-Encoding: identity\r\n\r\nx",
+	"negative length":      "HTTP/1.1 200 OK\r\nX-Attempt-Id: r.1\r\nContent-Length: -1\r\n\r\nx",
+	"signed length":        "HTTP/1.1 200 OK\r\nX-Attempt-Id: r.1\r\nContent-Length: +1\r\n\r\nx",
 	"success that refuses": "HTTP/1.1 200 OK\r\nX-Attempt-Id: r.1\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n",
 }
 
