backend: a reset is no end of an answer that states no length

Cause: the error of a reset goes to the first system call that sees it. If that is the write of the request, the read meets a plain end, which is the end of such an answer.

Change: the end of the connection ends an answer without a length, and a stream, only if the request was written and the connection was not reset. An early answer whose server reads on still is whole.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // readBufferBytes is the size of a connection's read buffer, and so the largest
@@ -219,6 +221,24 @@
 	}
 }
 
+// wasReset reports whether the connection has ended by a reset. It may not know of one.
+func (c *serverConn) wasReset() bool {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	reset := false
+	_ = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) // #nosec G115
+		reset = err == nil && info.State == unix.BPF_TCP_CLOSE
+	})
+	return reset
+}
+
 // usable reports whether a connection without a request is still open and has no unread
 // bytes. It peeks at the socket without blocking, so that no request is written
 // to a connection that the server has already closed.
--- a/backend/relay.go
+++ b/backend/relay.go
@@ -90,8 +90,11 @@
 	events    *eventReader
 	hasEvents bool
 	// writeResult receives the result of a background write; nil if the request
-	// was written directly.
+	// was written directly. written is true once that result was received, and writeErr
+	// is the result.
 	writeResult chan error
+	written     bool
+	writeErr    error
 	fullyRead   bool
 	// unmatched is true once an answer arrived that states no id or that of
 	// another call. More such answers may follow on the connection.
@@ -221,18 +224,38 @@
 // failedCheck returns the error of a check before a background write if that kept the
 // request from being sent, or nil.
 func (p *Response) failedCheck() *wigeonladder.Error {
-	if p.writeResult == nil {
-		return nil
+	var e *wigeonladder.Error
+	if p.awaitWritten(0) && errors.As(p.writeErr, &e) && p.exchange.writtenBytes == 0 {
+		return e
+	}
+	return nil
+}
+
+// awaitWritten waits until a background write has ended, for the given time at most. It
+// reports whether it has.
+func (p *Response) awaitWritten(timeout time.Duration) bool {
+	if p.writeResult == nil || p.written {
+		return true
 	}
 	select {
-	case err := <-p.writeResult:
-		var e *wigeonladder.Error
-		if errors.As(err, &e) && p.exchange.writtenBytes == 0 {
-			return e
-		}
+	case p.writeErr = <-p.writeResult:
+		p.written = true
+		return true
 	default:
 	}
-	return nil
+	if timeout <= 0 {
+		return false
+	}
+	t := time.NewTimer(timeout)
+	defer t.Stop()
+	select {
+	case p.writeErr = <-p.writeResult:
+		p.written = true
+		return true
+	case <-t.C:
+	case <-p.ctx.Done():
+	}
+	return false
 }
 
 // readAnswerHead reads the head of the answer to the call. It skips up to
@@ -299,6 +322,12 @@
 // limit is an error; it is CodeCrossed if the server may still run the call.
 func (p *Response) ReadBody() ([]byte, *wigeonladder.Error) {
 	b, err := p.exchange.readReserved(maxRelayAnswerBytes, p.isUnframed(), p.reserve)
+	if err == nil && p.isUnframed() && !p.endsWithConnection() {
+		err = io.ErrUnexpectedEOF
+		if p.reserve != nil {
+			_ = p.reserve(-cap(b))
+		}
+	}
 	if err != nil {
 		return nil, p.readError(err, p.exchange.runEnded())
 	}
@@ -316,7 +345,7 @@
 		p.events = newEventReader(p.exchange.body, maxRelayEventBytes)
 	}
 	e, err := p.events.next()
-	if errors.Is(err, io.EOF) && p.isUnframed() && !p.hasEvents {
+	if errors.Is(err, io.EOF) && p.isUnframed() && (!p.hasEvents || !p.endsWithConnection()) {
 		err = io.ErrUnexpectedEOF
 	}
 	if errors.Is(err, io.EOF) {
@@ -346,14 +375,11 @@
 }
 
 // isWritten reports whether the request was written completely.
-func (p *Response) isWritten() bool {
-	if p.writeResult == nil {
-		return true
-	}
-	select {
-	case err := <-p.writeResult:
-		return err == nil
-	default:
-		return false
-	}
+func (p *Response) isWritten() bool { return p.awaitWritten(0) && p.writeErr == nil }
+
+// endsWithConnection reports whether the end of the connection, which has been read, is
+// the end of an answer that states no length. A reset may look like an end: the write of
+// the request gets its error instead of the read.
+func (p *Response) endsWithConnection() bool {
+	return p.awaitWritten(RunEndTimeout) && p.writeErr == nil && !p.exchange.conn.wasReset()
 }
