backend: endless bytes of faulty servers share the memory for answers

Each answer was bounded here, but two kinds of bytes were kept outside of what all connections together may hold: the bodies of answers to other calls, up to 16 MB, which are skipped, and unfinished events, up to 2 MB of buffer.

Skipped bodies are now read without being kept, up to 1 MB, and the buffers of events beyond 16 KB count as held by the caller's answer.

--- a/backend/endless_test.go
+++ b/backend/endless_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"runtime"
+	"runtime/metrics"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
@@ -174,3 +179,72 @@
 		}
 	}
 }
+
+// sharedReserve returns a function that reserves memory of a limit which all callers
+// share.
+func sharedReserve(limit int64) func(n int) error {
+	var held atomic.Int64
+	return func(n int) error {
+		if held.Add(int64(n)) > limit && n > 0 {
+			held.Add(int64(-n))
+			return errors.New("no memory")
+		}
+		return nil
+	}
+}
+
+// heapBytes returns the bytes of the heap that are in use or not yet collected.
+func heapBytes() int64 {
+	sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	metrics.Read(sample)
+	return int64(sample[0].Value.Uint64()) // #nosec G115
+}
+
+// Guards against a faulty server whose endless bytes fill the memory of a daemon, because
+// each of many connections keeps as many of them as one may.
+func TestEndlessAnswersShareMemory(t *testing.T) {
+	const conns, limit, most = 24, 4 << 20, 32 << 20
+	for name, x := range map[string]struct{ prefix, repeated string }{
+		"event":                {endlessStreamHead + "id: 1\ndata: a\n\ndata: ", "x"},
+		"event lines":          {endlessStreamHead + "id: 1\ndata: a\n\n", "data: x\n"},
+		"body":                 {"HTTP/1.1 200 OK\r\nX-Attempt-Id: r.1\r\n\r\n", "x"},
+		"chunks":               {"HTTP/1.1 200 OK\r\nX-Attempt-Id: r.1\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("x", 4096) + "\r\n"},
+		"answer to other call": {"HTTP/1.1 200 OK\r\nX-Attempt-Id: q\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("x", 4096) + "\r\n"},
+		"stated length":        {"HTTP/1.1 200 OK\r\nX-Attempt-Id: q\r\nContent-Length: 16000000\r\n\r\n", "x"},
+		"trailers":             {"HTTP/1.1 200 OK\r\nX-Attempt-Id: r.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Pad: x\r\n"},
+		"interim answers":      {"", "HTTP/1.1 103 E\r\nLink: x\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newTestRelay(t)
+			ctx, cancel := context.WithTimeout(t.Context(), deadline)
+			defer cancel()
+			runtime.GC()
+			before, peak := heapBytes(), int64(0)
+			reserve := sharedReserve(limit)
+			var running sync.WaitGroup
+			for range conns {
+				s := newEndlessServer(t, x.prefix, x.repeated)
+				running.Go(func() {
+					a := callAt(s.address(), "r.1", false)
+					a.ReserveAnswer = reserve
+					relayCall(ctx, r, a)
+					<-s.closed
+				})
+			}
+			done := make(chan struct{})
+			go func() { running.Wait(); close(done) }()
+			for ended := false; !ended; {
+				select {
+				case <-done:
+					ended = true
+				case <-time.After(time.Millisecond):
+				}
+				peak = max(peak, heapBytes()-before)
+			}
+			is.NoErr(ctx.Err())
+			t.Log("most bytes held:", peak)
+			is.True(peak < most)
+		})
+	}
+}
--- a/backend/event.go
+++ b/backend/event.go
@@ -35,8 +35,16 @@
 	// line end.
 	eventStart, lineStart, scanned int
 	readErr                        error
+	// reserve is called before the buffer grows by n bytes beyond freeEventBufferBytes;
+	// nil for no bound. reserved is the sum of these bytes.
+	reserve  func(n int) error
+	reserved int
 }
 
+// freeEventBufferBytes is the size up to which the buffer of an event reader is not
+// reserved. Usual events are far shorter.
+const freeEventBufferBytes = 16 << 10
+
 // newEventReader returns a reader of events of at most maxBytes each.
 func newEventReader(r io.Reader, maxBytes int) *eventReader {
 	return &eventReader{r: r, maxBytes: maxBytes, buf: make([]byte, 0, initialEventBufferBytes)}
@@ -56,10 +64,38 @@
 		if e.readErr != nil {
 			return nil, e.finalError()
 		}
-		e.fill()
+		if err := e.fill(); err != nil {
+			return nil, err
+		}
 	}
 }
 
+// release gives up what was reserved.
+func (e *eventReader) release() {
+	if e.reserved > 0 {
+		_ = e.reserve(-e.reserved)
+		e.reserved = 0
+	}
+}
+
+// grow doubles the buffer.
+func (e *eventReader) grow() error {
+	n := cap(e.buf)
+	if e.reserve != nil && 2*n > freeEventBufferBytes {
+		// Until it is copied, the old buffer is held as well.
+		if err := e.reserve(2 * n); err != nil {
+			return err
+		}
+		e.reserved += 2 * n
+	}
+	e.buf = append(make([]byte, 0, 2*n), e.buf...)
+	if e.reserved > 2*n {
+		_ = e.reserve(2*n - e.reserved)
+		e.reserved = 2 * n
+	}
+	return nil
+}
+
 // finalError returns the error that ended the body, which is
 // io.ErrUnexpectedEOF if the body ended inside an event.
 func (e *eventReader) finalError() error {
@@ -95,8 +131,9 @@
 	return nil, false
 }
 
-// fill reads more bytes into the buffer, after making room for them.
-func (e *eventReader) fill() {
+// fill reads more bytes into the buffer, after making room for them. The error is that of
+// reserving the room.
+func (e *eventReader) fill() error {
 	if e.eventStart > 0 {
 		n := copy(e.buf, e.buf[e.eventStart:])
 		e.buf = e.buf[:n]
@@ -105,11 +142,14 @@
 		e.eventStart = 0
 	}
 	if len(e.buf) == cap(e.buf) {
-		e.buf = append(e.buf, make([]byte, cap(e.buf))...)[:len(e.buf)]
+		if err := e.grow(); err != nil {
+			return err
+		}
 	}
 	n, err := e.r.Read(e.buf[len(e.buf):cap(e.buf)])
 	e.buf = e.buf[:len(e.buf)+n]
 	e.readErr = err
+	return nil
 }
 
 // eventData returns the data of an event, its lines joined by line feeds. The
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -214,6 +214,24 @@
 	return x.readToEnd(maxBytes)
 }
 
+// skipBody reads a body, which must state its length or be chunked, and drops it.
+func (x *exchange) skipBody(maxBytes int) error {
+	switch length := x.header.ContentLength(); {
+	case x.noBody:
+		return nil
+	case length < -1:
+		return errNoLength
+	case length > maxBytes:
+		return errTooLong
+	}
+	x.conn.allowRead(bodyBytes(maxBytes))
+	n, err := io.Copy(io.Discard, io.LimitReader(x.body, int64(maxBytes)+1))
+	if err == nil && n > int64(maxBytes) {
+		return errTooLong
+	}
+	return err
+}
+
 // readToEnd reads a body until it ends, which may be with the connection.
 func (x *exchange) readToEnd(maxBytes int) ([]byte, error) {
 	x.conn.allowRead(bodyBytes(maxBytes))
--- a/backend/relay.go
+++ b/backend/relay.go
@@ -36,6 +36,8 @@
 	// maxSkippedAnswers bounds the answers to other calls that are skipped
 	// before the answer to the call itself.
 	maxSkippedAnswers = 2
+	// maxSkippedAnswerBytes bounds the body of each of these.
+	maxSkippedAnswerBytes = 1 << 20
 	// backgroundWriteMinBytes is the size of a body from which the request is
 	// written in the background while the answer is awaited, since a server may
 	// answer a long request before it has read all of it.
@@ -296,7 +298,7 @@
 			}
 		}
 		firstOnConn = false
-		if _, err := p.exchange.readBody(maxRelayAnswerBytes); err != nil {
+		if err := p.exchange.skipBody(maxSkippedAnswerBytes); err != nil {
 			return err
 		}
 	}
@@ -343,6 +345,7 @@
 	if p.events == nil {
 		p.exchange.conn.allowRead(bodyBytes(maxRelayAnswerBytes))
 		p.events = newEventReader(p.exchange.body, maxRelayEventBytes)
+		p.events.reserve = p.reserve
 	}
 	e, err := p.events.next()
 	if errors.Is(err, io.EOF) && p.isUnframed() && (!p.hasEvents || !p.endsWithConnection()) {
@@ -363,6 +366,9 @@
 // was written, the answer was read completely, and every answer on the
 // connection stated the id of its call.
 func (p *Response) Close() {
+	if p.events != nil {
+		p.events.release()
+	}
 	reuse := p.fullyRead && !p.unmatched && p.isWritten()
 	if !p.exchange.finish() {
 		reuse = false
--- a/front/reply.go
+++ b/front/reply.go
@@ -98,14 +98,14 @@
 	return r.flush()
 }
 
-// sendLongEvent sends an event that counts as held until it is written: in the buffer
-// of its reader and in that of the reply. Meanwhile the caller may give way to others.
+// sendLongEvent sends an event that counts as held until it is written, in addition to the
+// buffer of its reader. Meanwhile the caller may give way to others.
 func (r *reply) sendLongEvent(event []byte) error {
 	account := r.exchange.account
-	if err := account.Grow(memory.Answer, 2*len(event)); err != nil {
+	if err := account.Grow(memory.Answer, len(event)); err != nil {
 		return err
 	}
-	defer account.Shrink(memory.Answer, 2*len(event))
+	defer account.Shrink(memory.Answer, len(event))
 	account.Unpin()
 	r.appendChunk(event)
 	if err := r.flush(); err != nil {
