--- a/inventory/era_test.go
+++ b/inventory/era_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -171,11 +172,11 @@
 	})
 }
 
-// evacuations is a ZonePool.
-type evacuations struct{ zones []string }
+// evacuations is a ZonePool that counts the zones.
+type evacuations struct{ zones atomic.Int64 }
 
 // SetEvacuatedZones implements ZonePool.
-func (e *evacuations) SetEvacuatedZones(zones []string) { e.zones = zones }
+func (e *evacuations) SetEvacuatedZones(zones []string) { e.zones.Store(int64(len(zones))) }
 
 // Guards against calls to an evacuated zone after the store came back from a copy that does
 // not have the evacuation, and against an evacuation that comes back.
@@ -184,7 +185,7 @@
 		copied      bool // the copy has the evacuation
 		ended       bool // it had ended when the store went
 		again       bool // it is written again
-		soon, later int
+		soon, later int64
 	}{
 		"after the copy, written again": {false, false, true, 1, 1},
 		"after the copy, lost":          {false, false, false, 1, 0},
@@ -214,11 +215,11 @@
 				if x.again {
 					l.Apply(item(60, false))
 				}
-				is.Equal(len(pool.zones), x.soon)
+				is.Equal(pool.zones.Load(), x.soon)
 				time.Sleep(lateWriteTime + time.Second)
-				is.Equal(len(pool.zones), x.later)
+				is.Equal(pool.zones.Load(), x.later)
 				l.Apply(item(70, true))
-				is.Equal(len(pool.zones), 0)
+				is.Equal(pool.zones.Load(), int64(0))
 			})
 		})
 	}
