--- a/front/shutdown.go
+++ b/front/shutdown.go
@@ -84,7 +84,7 @@
 
 // close closes the listener, cancels the open calls and closes all connections.
 func (s *Server) close() {
-	_ = s.o.Listener.Close()
+	_ = s.listener.Close()
 	s.cancel()
 	for end := time.Now().Add(cancelTimeout); s.OpenCalls() > 0 && time.Now().Before(end); {
 		time.Sleep(shutdownPollInterval)
