--- a/front/intake_test.go
+++ b/front/intake_test.go
@@ -24,7 +24,7 @@
 	var handled, before atomic.Int64
 	running, seen := make(chan struct{}), make(chan struct{})
 	limits := defaultLimits
-	_, address := serve(t, limits, func(ctx context.Context, c *wigeonladder.Call, w wigeonladder.Reply) {
+	s, address := serve(t, limits, func(ctx context.Context, c *wigeonladder.Call, w wigeonladder.Reply) {
 		if c.ID == "running" {
 			close(running)
 			<-ctx.Done()
@@ -47,7 +47,9 @@
 		c, _ := dial(t, address)
 		conns = append(conns, c)
 	}
-	time.Sleep(10 * time.Millisecond) // all are accepted
+	for end := time.Now().Add(deadline); s.OpenConns() < flood+1; runtime.Gosched() {
+		is.True(time.Now().Before(end))
+	}
 	for _, c := range conns {
 		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 		is.NoErr(err)
