--- a/backend/endless_test.go
+++ b/backend/endless_test.go
@@ -204,7 +204,7 @@
 // Guards against a faulty server whose endless bytes fill the memory of a daemon, because
 // each of many connections keeps as many of them as one may.
 func TestEndlessAnswersShareMemory(t *testing.T) {
-	// Beside what they share, each connection and its server may hold half a megabyte.
+	// Each connection and its stand-in may use 512 KB in addition to the shared limit.
 	const conns, limit = 24, 4 << 20
 	const most = limit + conns*(512<<10)
 	for name, x := range map[string]struct{ prefix, repeated string }{
--- a/backend/event.go
+++ b/backend/event.go
@@ -131,8 +131,8 @@
 	return nil, false
 }
 
-// fill reads more bytes into the buffer, after making room for them. The error is that of
-// reserving the room.
+// fill reads more bytes into the buffer, which it grows if it is full. It returns an error
+// only if the memory limit is reached.
 func (e *eventReader) fill() error {
 	if e.eventStart > 0 {
 		n := copy(e.buf, e.buf[e.eventStart:])
--- a/conn/listener.go
+++ b/conn/listener.go
@@ -104,12 +104,12 @@
 }
 
 // acceptsPerTurn is the number of connections that are accepted or refused before other
-// goroutines that are ready have their turn. It is large enough that connections do not
-// wait to be accepted until their peers give up.
+// runnable goroutines are scheduled. With a small number, connections stay in the accept
+// queue until their peers time out.
 const acceptsPerTurn = 16
 
-// yield lets other goroutines run after each acceptsPerTurn calls, so that in a flood of
-// connections the work on those that were accepted before goes on. Only Accept uses it.
+// yield lets other goroutines run after every acceptsPerTurn calls, so that a connection
+// flood does not starve the accepted connections. Only Accept calls it.
 func (l *Listener) yield() {
 	l.accepts++
 	if l.accepts%acceptsPerTurn == 0 {
--- a/edge/era_test.go
+++ b/edge/era_test.go
@@ -8,8 +8,8 @@
 	"github.com/wigeonladder/wigeonladder/route"
 )
 
-// Guards against calls to a server that leaves, and against a configuration, or a key,
-// that comes back, after the store has come back from a copy of itself.
+// Guards against calls to leaving servers, and against the return of an old configuration
+// or a revoked key, after the store was restored from an older copy.
 func TestStoreThatComesBackFromACopy(t *testing.T) {
 	r := newRig(t, withDaemons(5), withEngines(2)) // one daemon reads the store for the others
 	is := is.New(t)
--- a/edge/streams.go
+++ b/edge/streams.go
@@ -13,8 +13,8 @@
 	// maxVersionsAge is the age of what is known of the store from which it is not certain
 	// that a service has a single version.
 	maxVersionsAge = 3 * time.Second
-	// versionChangeTime is how long before its entry shows it a server may have got
-	// another version.
+	// versionChangeTime bounds the delay between the restart of a server with another
+	// version and the update of its entry.
 	versionChangeTime = 10 * time.Second
 )
 
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -46,9 +46,8 @@
 	return c, reply
 }
 
-// Guards against a stream that holds events of two software versions (ORDER), because its
-// caller takes it up at another daemon, and against one that is not resumed although
-// servers of its version are there.
+// Guards against resuming a stream at another daemon with a different software version
+// (ORDER), and against refusing it while servers of its version are available.
 func TestStreamsTakenUpKeepTheirVersion(t *testing.T) {
 	r := newRig(t, withDaemons(3), withEngines(4))
 	// Without a restriction, calls go to the first server, which is of version v1.
@@ -75,8 +74,8 @@
 	}
 }
 
-// Guards against a stream that goes on at any version after all daemons have lost their
-// state, or after its version has left (ORDER), and against a refusal that is not true.
+// Guards against resuming a stream at an arbitrary version (ORDER) when its version is
+// unknown or no longer served, and against a refusal of a call that has run.
 func TestStreamsOfUnknownVersionAreRefused(t *testing.T) {
 	r := newRig(t, withEngines(4))
 	r.setVersions("", "v1", "v2")
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -54,8 +54,8 @@
 	return nil
 }
 
-// beginStreamAt records the version at which a stream begins, before the caller gets its
-// first event. From then on the call goes on only at this version.
+// beginStreamAt records the version at which a stream begins, and restricts the call to
+// servers of this version. It must be called before the first event is sent.
 func (r *callRun) beginStreamAt(l *place.Lease) {
 	streams := r.forwarder.options.Streams
 	if streams == nil || !r.match.Route.Resumable || r.call.LastEventID != "" {
--- a/forward/resume_test.go
+++ b/forward/resume_test.go
@@ -33,9 +33,8 @@
 	return o.single, o.single != ""
 }
 
-// Guards against a stream that goes on at another software version than the one that began
-// it (ORDER), against one that is sent although that version is not known, and against one
-// that is refused although it is.
+// Guards against resuming a stream at a different software version (ORDER), against
+// resuming one whose version is unknown, and against refusing one whose version is known.
 func TestStreamsGoOnAtTheirVersion(t *testing.T) {
 	at := func(service, version string) map[string]wigeonladder.StreamOrigin {
 		return map[string]wigeonladder.StreamOrigin{"/first": {Service: service, Version: version}}
@@ -87,9 +86,8 @@
 	}
 }
 
-// Guards against a stream that breaks off and goes on, within one answer, at another
-// version than the one that began it, and against a stream whose version is not known
-// later.
+// Guards against a failover, within one answer, to a server of a different version, and
+// against a stream whose version is not recorded.
 func TestBrokenStreamGoesOnAtItsVersion(t *testing.T) {
 	bubble(t, nil, func(t *testing.T, r *rig) {
 		is := is.New(t)
--- a/front/intake.go
+++ b/front/intake.go
@@ -19,11 +19,10 @@
 	intakeDelayPeriod = 200 * time.Millisecond
 )
 
-// Intake orders the requests that have begun to arrive behind the work on those that
-// have been read. The runtime runs goroutines in the order in which they became ready,
-// so that in a flood of requests the closes of callers, the answers of backend servers
-// and the news of the store would wait behind all requests that can be read. The Intake
-// passes one request in each round of the scheduler. It is safe for concurrent use.
+// Intake delays new requests so that work in progress runs first. The runtime schedules
+// goroutines in FIFO order: in a flood of requests, closed connections, answers of backend
+// servers and updates of the store would be queued behind every readable request. The
+// Intake admits one request in each round of the scheduler. It is safe for concurrent use.
 type Intake struct {
 	ctx context.Context
 	// limit is the number of requests that may wait; 0 for no bound.
--- a/soak/drill.go
+++ b/soak/drill.go
@@ -22,8 +22,8 @@
 )
 
 // restoreStore makes the store go away for a moment, once, and come back from a copy of
-// itself. Then what was written since is written again. The time is chosen apart from the
-// other faults, so that a seed keeps those.
+// itself. Then what was written since is written again. It has its own random numbers, so
+// that the other faults of a seed stay the same.
 func (s *soak) restoreStore(ctx context.Context) {
 	random := rand.New(rand.NewPCG(s.options.Seed, drillStream))
 	upTo := func(most time.Duration) time.Duration { return time.Duration(random.Int64N(int64(most))) }
