--- a/review/_standin3/fleet.go
+++ b/review/_standin3/fleet.go
@@ -46,6 +46,8 @@
 var (
 	// mngLadder is the smaller kind of machine of mng-ladder.
 	mngLadder = machine{memoryMB: 414, files: "6150", mbps: "1500.0", apply: "2000ms", leave: "2000ms", retryBudgetSlack: "54", engineSlots: 48, cache: 444000}
+	// hibiki is the smallest kind of machine of hibiki-results-grown.
+	hibiki = machine{memoryMB: 413, files: "8192", mbps: "2400.0", apply: "3000ms", leave: "3000ms", retryBudgetSlack: "182", engineSlots: 128, cache: 1184510}
 	// hbtTills is the smallest kind of machine of hbt-tills-grown.
 	hbtTills = machine{memoryMB: 144, files: "3075", mbps: "750.0", apply: "3000ms", leave: "3000ms", retryBudgetSlack: "184", engineSlots: 64, cache: 621038}
 )
--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -52,7 +52,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return failed
 	}
-	defer func() { _ = os.RemoveAll(dir) }()
+	if os.Getenv("KEEP") == "" {
+		defer func() { _ = os.RemoveAll(dir) }()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	go giveUp(ctx, dir)
@@ -78,6 +80,8 @@
 		}
 	}
 	killStarted()
-	_ = os.RemoveAll(dir)
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(dir)
+	}
 	os.Exit(failed)
 }
