--- a/review/_standin3/platform.go
+++ b/review/_standin3/platform.go
@@ -13,7 +13,9 @@
 	host        = "guild.example"
 	deskService = "desk"
 	penService  = "scribe"
-	heartbeat   = 1200 * time.Millisecond
+	// canaryService is a second service for the requests of penService.
+	canaryService = "scribe-next"
+	heartbeat     = 1200 * time.Millisecond
 )
 
 // zones are the zones of mng-ladder.
@@ -27,6 +29,8 @@
 	// tenants maps the names of tenants to their keys; empty for an installation
 	// without tenants.
 	tenants map[string][]string
+	// canary is true if the resumable route is split between two services.
+	canary bool
 }
 
 // encode returns the document as PROTOCOL.md describes it.
@@ -41,16 +45,22 @@
 	for name, keys := range c.tenants {
 		tenants = append(tenants, map[string]any{"name": name, "apiKeys": keys, "priority": 1})
 	}
+	note := route("note", "/stream/note/", "streaming", penService, 2, 8000, true)
+	if c.canary {
+		delete(note, "service")
+		note["weightedBackends"] = []map[string]any{{"service": penService, "weight": 1}, {"service": canaryService, "weight": 1}}
+	}
 	data, err := json.Marshal(map[string]any{
 		"version": c.version,
 		"routes": []map[string]any{
 			route("lookup", "/lookup/", "safe", deskService, 2, 1000, false),
 			route("booking", "/booking/", "unsafe", deskService, 1, 1000, false),
 			route("proposal", "/stream/proposal/", "streaming", penService, 1, 8000, false),
-			route("note", "/stream/note/", "streaming", penService, 2, 8000, true),
+			note,
 		},
 		"services": []map[string]any{
 			{"name": deskService, "healthPath": "/health", "maxConnections": 100},
+			{"name": canaryService, "healthPath": "/health", "maxConnections": 300, "engine": map[string]any{"slots": c.machine.engineSlots, "kvCapacityTokens": c.machine.cache}},
 			{"name": penService, "healthPath": "/health", "maxConnections": 300, "engine": map[string]any{"slots": c.machine.engineSlots, "kvCapacityTokens": c.machine.cache}},
 		},
 		"limits": map[string]any{
--- a/review/_standin3/versions.go
+++ b/review/_standin3/versions.go
@@ -35,8 +35,8 @@
 // engine is a model replica with a software version, which may start again under its id
 // and address.
 type engine struct {
-	id, zone, address string
-	record            *record
+	id, service, zone, address string
+	record                     *record
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -47,8 +47,8 @@
 	runs map[string]string
 }
 
-func newEngine(t *trial, id, zone, version string) *engine {
-	e := &engine{id: id, zone: zone, record: t.record, listener: listen(), runs: map[string]string{}}
+func newEngine(t *trial, id, service, zone, version string) *engine {
+	e := &engine{id: id, service: service, zone: zone, record: t.record, listener: listen(), runs: map[string]string{}}
 	e.address = e.listener.Addr().String()
 	e.serve(e.listener, version)
 	return e
@@ -59,7 +59,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.entry = wigeonladder.Instance{
-		ID: e.id, StartUnixMs: time.Now().UnixMilli(), Service: penService, Zone: e.zone, Address: e.address, Slots: mngLadder.engineSlots, Version: version,
+		ID: e.id, StartUnixMs: time.Now().UnixMilli(), Service: e.service, Zone: e.zone, Address: e.address, Slots: mngLadder.engineSlots, Version: version,
 	}
 	e.leaving = false
 	e.listener = l
@@ -153,6 +153,12 @@
 
 // ask makes one request for a stream and reads it to its end.
 func ask(ctx context.Context, address, id, session string) stream {
+	return takeUp(ctx, address, id, session, stream{})
+}
+
+// takeUp makes one request for the rest of a stream, of which the caller has a part, and
+// reads it to its end.
+func takeUp(ctx context.Context, address, id, session string, part stream) stream {
 	s := stream{id: id}
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/stream/note/1", strings.NewReader("prompt "+id))
 	if err != nil {
@@ -165,6 +171,10 @@
 	r.Header.Set("Model", "m")
 	r.Header.Set("Token-Usage", "6300,140")
 	r.Header.Set("Prompt-Prefix", fmt.Sprintf("%s:6000,%x:300", session, []byte(id)))
+	if part.events > 0 {
+		r.Header.Set("Last-Event-Id", strconv.Itoa(part.events))
+		r.Header.Set("Resumes", part.id)
+	}
 	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := c.Do(r)
 	if err != nil {
@@ -194,7 +204,7 @@
 	store.PutRaw("op/config", config{version: 1, machine: mngLadder, tenants: map[string][]string{"w1": {"key-1"}}}.encode())
 	var engines []*engine
 	for n, zone := range zones {
-		e := newEngine(t, fmt.Sprintf("i-scribe%d", n+1), zone, "v1")
+		e := newEngine(t, fmt.Sprintf("i-scribe%d", n+1), penService, zone, "v1")
 		defer e.stop()
 		engines = append(engines, e)
 	}
