--- a/review/_standin3/poison.go
+++ b/review/_standin3/poison.go
@@ -37,6 +37,7 @@
 // request.
 type poisonEngine struct {
 	id, zone, address string
+	slots             int
 	store             *stub.Store
 	arrivals          *arrivals
 
@@ -45,6 +46,10 @@
 	entry  wigeonladder.Instance
 }
 
+// deadlyPart is a part of a prompt that crashes the replicas that begin to write an answer
+// on it.
+const deadlyPart = "dead:300,"
+
 // arrivals are the times at which the poisonous request crashed a replica.
 type arrivals struct {
 	record *record
@@ -63,7 +68,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.entry = wigeonladder.Instance{
-		ID: e.id, StartUnixMs: time.Now().UnixMilli(), Service: penService, Zone: e.zone, Address: e.address, Slots: hibiki.engineSlots, Version: "v1",
+		ID: e.id, StartUnixMs: time.Now().UnixMilli(), Service: penService, Zone: e.zone, Address: e.address, Slots: e.slots, Version: "v1",
 	}
 	e.server = &http.Server{Handler: http.HandlerFunc(e.run), ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = e.server.Serve(l) }()
@@ -112,6 +117,10 @@
 		e.crash()
 		panic(http.ErrAbortHandler)
 	}
+	hasPart := strings.HasPrefix(r.Header.Get("Prompt-Prefix"), deadlyPart) || strings.Contains(r.Header.Get("Prompt-Prefix"), ","+deadlyPart)
+	if hasPart {
+		e.arrivals.add(e.id, id)
+	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	h.Set("Attempt-Id", id)
 	h.Set("Response-Signature", stub.Sign(id))
@@ -121,6 +130,12 @@
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
+		if hasPart {
+			// The process ends once its first bytes are out.
+			time.Sleep(10 * time.Millisecond)
+			e.crash()
+			panic(http.ErrAbortHandler)
+		}
 		select {
 		case <-r.Context().Done():
 			return
@@ -139,7 +154,7 @@
 	var engines []*poisonEngine
 	for n := range poisonEngines {
 		l := listen()
-		e := &poisonEngine{id: fmt.Sprintf("i-scribe%d", n+1), zone: zones[n%len(zones)], address: l.Addr().String(), store: store, arrivals: crashes}
+		e := &poisonEngine{id: fmt.Sprintf("i-scribe%d", n+1), zone: zones[n%len(zones)], address: l.Addr().String(), slots: hibiki.engineSlots, store: store, arrivals: crashes}
 		e.start(l)
 		defer e.stop()
 		engines = append(engines, e)
